--- /dev/null
+++ b/packages/core/src/__tests__/resultCode.spec.ts
@@ -0,0 +1,14 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ResultCode, isNotRun, isOutcomeUnknown, resultNameOf } from '../resultCode.js';
+
+test('every result code has a number of its own', () => {
+  const numbers = Object.values(ResultCode);
+  assert.equal(new Set(numbers).size, numbers.length);
+});
+
+test('no code says both "not run" and "outcome unknown"', () => {
+  Object.values(ResultCode).forEach((number) => {
+    assert.ok(!(isNotRun(number) && isOutcomeUnknown(number)), resultNameOf(number));
+  });
+});
--- /dev/null
+++ b/packages/core/src/admission.ts
@@ -0,0 +1,53 @@
+import type { Result } from 'ts-results-es';
+import type { Importance } from './configuration.js';
+import type { Failure } from './failure.js';
+
+/** A call that asks to be let in to the target. */
+export interface AdmissionRequest {
+  importance: Importance;
+  /** Name of the root caller; its hash places the call within its class. */
+  caller: string;
+  /** When the caller stops waiting, on the monotonic clock, in milliseconds. */
+  deadlineAt: number;
+  /** Aborted when the caller has gone. */
+  signal: AbortSignal;
+}
+
+/** How an admitted call ended, as the limiter should see it. */
+export type Outcome = 'completed' | 'targetRefused' | 'failed' | 'cancelled';
+
+/** The right to have one call at the target. */
+export interface Permit {
+  /** Time spent waiting, in milliseconds. */
+  readonly waitedMs: number;
+  /** Gives the slot back; to be called exactly once. */
+  release(outcome: Outcome): void;
+}
+
+/** Decides which calls reach the target, and when. */
+export interface Admission {
+  /** A permit, or the reason why the call was not run. Never rejects. */
+  enter(request: AdmissionRequest): Promise<Result<Permit, Failure>>;
+  /** Level below which calls are refused; rides back on answers. See `shedLevel.ts`. */
+  shedLevel(): number;
+  /** Calls at the target and calls waiting. */
+  load(): AdmissionLoad;
+  /** Changes what is weighed; called when a new configuration is in force. */
+  reconfigure(settings: AdmissionSettings): void;
+  /** Refuses new calls from now on; those inside go on. */
+  close(): void;
+}
+
+/** What admission is told by the configuration. */
+export interface AdmissionSettings {
+  limit: 'none' | 'fixed' | 'adaptive';
+  slots: number;
+  objective: 'goodput' | 'recovery';
+}
+
+/** A snapshot of admission. */
+export interface AdmissionLoad {
+  inFlight: number;
+  waiting: number;
+  limit: number;
+}
--- /dev/null
+++ b/packages/core/src/call.ts
@@ -0,0 +1,54 @@
+import type { Result } from 'ts-results-es';
+import type { Failure } from './failure.js';
+
+/** Headers of a call, by lower-case name. */
+export type CallHeaders = Record<string, string>;
+
+/** A whole request for a call. */
+export interface CallRequest {
+  /** Name of the call, `service.call`. */
+  call: string;
+  headers: CallHeaders;
+  body: Buffer;
+}
+
+/** A whole answer of a call. */
+export interface CallAnswer {
+  /** HTTP status of the answer. */
+  status: number;
+  headers: CallHeaders;
+  body: Buffer;
+}
+
+/** Where calls are sent: a target, or the daemon beside it. */
+export interface Endpoint {
+  address: string;
+  port: number;
+}
+
+/** Bounds of one send. */
+export interface SendBounds {
+  /** Longest wait for the whole answer, in milliseconds. */
+  timeoutMs: number;
+  /** Largest answer, in bytes. */
+  maxAnswerBytes: number;
+  /** Aborted when the answer is no longer wanted. */
+  signal: AbortSignal;
+}
+
+/**
+ * Carries whole requests and whole answers.
+ * `notRun…` failures are given only where no byte of the request was sent;
+ * every other failure is `unknown…`.
+ */
+export abstract class CallTransport {
+  abstract send(
+    to: Endpoint,
+    path: string,
+    request: CallRequest,
+    bounds: SendBounds,
+  ): Promise<Result<CallAnswer, Failure>>;
+
+  /** Ends all connections. */
+  abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/core/src/httpServer.ts
@@ -0,0 +1,119 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import polka from 'polka';
+
+/** A whole HTTP request. */
+export interface HttpMessage {
+  method: string;
+  path: string;
+  headers: Record<string, string | string[] | undefined>;
+  body: Buffer;
+  /** Aborted when the other end has gone before the answer was written. */
+  signal: AbortSignal;
+}
+
+/** A whole HTTP answer. */
+export interface HttpAnswer {
+  status: number;
+  headers: Record<string, string>;
+  body: Buffer;
+}
+
+/** Answers one request. */
+export type HttpHandler = (message: HttpMessage) => Promise<HttpAnswer>;
+
+/** A server that listens. */
+export interface ListeningServer {
+  server: Server;
+  port: number;
+}
+
+/** Thrown while reading a body that is larger than allowed. */
+export class BodyTooLargeError extends Error {
+  constructor(readonly limitBytes: number) {
+    super(`the body is larger than ${limitBytes} bytes`);
+  }
+}
+
+/** Reads a body to its end; rejects when it is cut off or too large. */
+export function readBody(stream: IncomingMessage, limitBytes: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    stream.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= limitBytes) chunks.push(chunk);
+      else chunks.length = 0;
+    });
+    stream.on('end', () => {
+      if (size > limitBytes) reject(new BodyTooLargeError(limitBytes));
+      else resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+    });
+    stream.on('error', reject);
+    stream.on('aborted', () => reject(new Error('the request was cut off')));
+  });
+}
+
+function writeAnswer(response: ServerResponse, answer: HttpAnswer): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length });
+  response.end(answer.body);
+}
+
+async function serve(
+  incoming: IncomingMessage,
+  response: ServerResponse,
+  limitBytes: number,
+  handler: HttpHandler,
+): Promise<void> {
+  const gone = new AbortController();
+  response.on('close', () => {
+    if (!response.writableFinished) gone.abort(new Error('the caller has gone'));
+  });
+  const body = await readBody(incoming, limitBytes);
+  const answer = await handler({
+    method: incoming.method ?? 'GET',
+    path: (incoming.url ?? '/').split('?', 1)[0] as string,
+    headers: incoming.headers,
+    body,
+    signal: gone.signal,
+  });
+  writeAnswer(response, answer);
+}
+
+function answerOfError(error: Error): HttpAnswer {
+  const status = error instanceof BodyTooLargeError ? 413 : 400;
+  return { status, headers: {}, body: Buffer.from(JSON.stringify({ message: error.message })) };
+}
+
+/** Listens for HTTP and answers every request through `handler`. */
+export function listenHttp(
+  address: string,
+  port: number,
+  limitBytes: number,
+  handler: HttpHandler,
+): Promise<ListeningServer> {
+  const server = createServer();
+  server.requestTimeout = 0;
+  const application = polka({ server });
+  application.use((incoming, response) => {
+    serve(incoming, response, limitBytes, handler).catch((error: unknown) => {
+      writeAnswer(response, answerOfError(error as Error));
+    });
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    application.listen(port, address, () => {
+      resolve({ server, port: (server.address() as AddressInfo).port });
+    });
+  });
+}
+
+/** Stops listening; requests under way are answered first. */
+export function closeHttp(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/core/src/peerCaller.ts
@@ -0,0 +1,64 @@
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Agent, request } from 'undici';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import type { PeerAddress, PeerCaller } from './peer.js';
+import { ResultCode } from './resultCode.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const IDLE_TIMEOUT_MS = 10_000;
+
+/** Sends control messages with JSON-RPC over HTTP, on connections that are kept open. */
+export class RpcPeerCaller implements PeerCaller {
+  private readonly agent = new Agent({
+    connections: 2,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+  });
+
+  private lastId = 0;
+
+  async call<T>(
+    to: PeerAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<T, Failure>> {
+    const client = this.clientFor(to, timeoutMs);
+    try {
+      return Ok((await client.request(method, params)) as T);
+    } catch (error) {
+      const message = `${method} at ${to.address}:${to.port}: ${(error as Error).message}`;
+      return Err(createFailure(ResultCode.daemonUnreachable, message));
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private clientFor(to: PeerAddress, timeoutMs: number): JSONRPCClient {
+    const client: JSONRPCClient = new JSONRPCClient(
+      async (message) => {
+        // An answer that does not come in time takes its connection with it:
+        // a silent connection is never used twice.
+        const answer = await request(`http://${to.address}:${to.port}/rpc`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(message),
+          dispatcher: this.agent,
+          signal: AbortSignal.timeout(timeoutMs),
+        });
+        client.receive((await answer.body.json()) as JSONRPCResponse);
+      },
+      () => {
+        this.lastId += 1;
+        return this.lastId;
+      },
+    );
+    return client;
+  }
+}
