--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,3 +44,5 @@
 export type { CallAnswer, CallHeaders, CallRequest, Endpoint, SendBounds } from './call.js';
 export { createLogger, silentLogger } from './logger.js';
 export type { LogFields, Logger, LogLevel } from './logger.js';
+export { ControlMethod } from './control.js';
+export type { DaemonStatus, HistogramMeasure, HistogramRow } from './control.js';
