--- /dev/null
+++ b/packages/core/src/callOrigin.ts
@@ -0,0 +1,147 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { v7 as uuidv7 } from 'uuid';
+import { AttemptAllowance } from './attemptAllowance.js';
+import type { CallRequest } from './call.js';
+import { readName } from './callContext.js';
+import type { CallContext } from './callContext.js';
+import { CallHeader } from './callHeaders.js';
+import type { Clock } from './clock.js';
+import type { CallPolicy, Configuration } from './configuration.js';
+import { HOP_COST_MS, deadlineAt, parseDeadlineMs } from './deadline.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import { ResultCode } from './resultCode.js';
+import type { RunningCall, RunningCalls } from './runningCalls.js';
+
+const ANONYMOUS_CALLER = 'anonymous';
+
+/** Where a call comes from, and what it may use. */
+export interface CallOrigin {
+  policy: CallPolicy;
+  context: CallContext;
+  allowance: AttemptAllowance;
+  /** Aborted when the parent call is no longer wanted; never for a root. */
+  signal: AbortSignal;
+  /** Returns what was not spent to the parent; to be called once, at the end. */
+  settle(): void;
+}
+
+/** What finding an origin needs. */
+export interface CallOriginOptions {
+  clock: Clock;
+  configuration: () => Configuration | undefined;
+  runningCalls: RunningCalls;
+  /** Key of a child call, derived from its parent's. */
+  childKey: (parentKey: string, call: string, label: string) => string;
+}
+
+const neverAborted = new AbortController().signal;
+
+function failed(code: (typeof ResultCode)[keyof typeof ResultCode], message: string) {
+  return Err(createFailure(code, message));
+}
+
+/** Finds policy, context and allowance of a request: of a new root, or of a child. */
+export function createCallOrigins(options: CallOriginOptions) {
+  const { clock } = options;
+
+  function policyOf(name: string): Result<CallPolicy, Failure> {
+    const configuration = options.configuration();
+    if (!configuration) {
+      const message = 'no configuration is in force yet; apply one with: shallotcroft apply';
+      return failed(ResultCode.configurationMissing, message);
+    }
+    const policy = configuration.calls[name];
+    if (!policy) {
+      const message = `${name} is not a configured call; add it to the answers and apply them`;
+      return failed(ResultCode.badUnknownCall, message);
+    }
+    return Ok(policy);
+  }
+
+  function requireKey(policy: CallPolicy, key: string | undefined): Result<void, Failure> {
+    if (policy.execution !== 'atMostOnce' || key) return Ok(undefined);
+    const message = `${policy.name} may run at most once: send a UUIDv7 in the header ${CallHeader.key}, the same one with each retry`;
+    return failed(ResultCode.badKeyMissing, message);
+  }
+
+  function rootOrigin(request: CallRequest, policy: CallPolicy): Result<CallOrigin, Failure> {
+    const root = readName(request.headers, CallHeader.root, uuidv7());
+    if (root.isErr()) return root;
+    const caller = readName(request.headers, CallHeader.caller, ANONYMOUS_CALLER);
+    if (caller.isErr()) return caller;
+    const patience = parseDeadlineMs(request.headers[CallHeader.deadline]);
+    if (patience.isErr()) return patience;
+    const key = request.headers[CallHeader.key];
+    const keyed = requireKey(policy, key);
+    if (keyed.isErr()) return keyed;
+    const patienceMs = Math.min(policy.deadlineMs, patience.value ?? policy.deadlineMs);
+    const context: CallContext = {
+      root: root.value,
+      caller: caller.value,
+      importance: policy.importance,
+      deadlineAt: deadlineAt(clock.now(), patienceMs),
+      key,
+    };
+    const allowance = new AttemptAllowance(policy.attemptTokens, policy.children.length);
+    return Ok({ policy, context, allowance, signal: neverAborted, settle: () => undefined });
+  }
+
+  /** Name of a child within one execution of its parent, the same when the parent runs again. */
+  function childLabel(
+    request: CallRequest,
+    policy: CallPolicy,
+    parent: RunningCall,
+  ): Result<string, Failure> {
+    const label = readName(request.headers, CallHeader.label, '-');
+    if (label.isErr()) return label;
+    const started = parent.children.get(policy.name) ?? 0;
+    parent.children.set(policy.name, started + 1);
+    const unlabelled = request.headers[CallHeader.label] === undefined;
+    if (policy.execution === 'atMostOnce' && unlabelled && started > 0) {
+      const message = `${parent.policy.name} calls ${policy.name} more than once: send a different ${CallHeader.label} with each`;
+      return failed(ResultCode.badChildLabelMissing, message);
+    }
+    return Ok(unlabelled && started > 0 ? `-${started}` : label.value);
+  }
+
+  function childOrigin(
+    request: CallRequest,
+    policy: CallPolicy,
+    parent: RunningCall,
+  ): Result<CallOrigin, Failure> {
+    const label = childLabel(request, policy, parent);
+    if (label.isErr()) return label;
+    const { context } = parent;
+    const own = request.headers[CallHeader.key];
+    const key = own ?? (context.key && options.childKey(context.key, policy.name, label.value));
+    const keyed = requireKey(policy, key);
+    if (keyed.isErr()) return keyed;
+    const grant = parent.allowance.grantForChild(`${policy.name}#${label.value}`);
+    if (!grant) {
+      const message = `no attempt is left for running ${policy.name} again below ${parent.policy.name}`;
+      return failed(ResultCode.notRunShed, message);
+    }
+    const allowance = new AttemptAllowance(grant.tokens, policy.children.length);
+    const until = context.deadlineAt - HOP_COST_MS;
+    return Ok({
+      policy,
+      context: { ...context, key, deadlineAt: deadlineAt(clock.now(), policy.deadlineMs, until) },
+      allowance,
+      signal: parent.signal,
+      settle: () => grant.settle(allowance.close()),
+    });
+  }
+
+  return (request: CallRequest): Result<CallOrigin, Failure> => {
+    const policy = policyOf(request.call);
+    if (policy.isErr()) return policy;
+    const parentId = request.headers[CallHeader.parent];
+    if (parentId === undefined) return rootOrigin(request, policy.value);
+    const parent = options.runningCalls.find(parentId);
+    if (parent) return childOrigin(request, policy.value, parent);
+    const message = `call ${parentId} is not running here; its answer was given or is no longer wanted`;
+    return failed(ResultCode.badParentCall, message);
+  };
+}
--- a/packages/core/src/control.ts
+++ b/packages/core/src/control.ts
@@ -40,6 +40,6 @@
   p90: number;
   p99: number;
   max: number;
-  /** Counts in steps that double, from 1 upwards, for drawing. */
+  /** Counts for drawing: bucket 0 of zeros, bucket n of the values from 2^(n-1) to 2^n - 1. */
   buckets: number[];
 }
--- /dev/null
+++ b/packages/core/src/gateway.ts
@@ -0,0 +1,190 @@
+import type { Result } from 'ts-results-es';
+import { backoffMs } from './backoff.js';
+import type { AttemptAllowance } from './attemptAllowance.js';
+import type { CallAnswer, CallRequest, CallTransport } from './call.js';
+import { answerOfFailure, codeOfAnswer, numberOfAnswer, passedHeaders } from './callAnswer.js';
+import { encodeHop } from './callContext.js';
+import type { CallContext } from './callContext.js';
+import { CallHeader } from './callHeaders.js';
+import type { CallOrigin } from './callOrigin.js';
+import type { Clock } from './clock.js';
+import type { CallPolicy } from './configuration.js';
+import { remainingForHopMs } from './deadline.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import type { Histograms } from './histograms.js';
+import type { Member } from './member.js';
+import type { RandomSource } from './random.js';
+import { ResultCode, isNotRun, isOutcomeUnknown } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
+import type { RetryBudget } from './retryBudget.js';
+import { mayRetry } from './retryDecision.js';
+import type { TargetRouter } from './targetRouter.js';
+
+/** Wait for an answer past the deadline that was sent along, in milliseconds. */
+const ANSWER_GRACE_MS = 5;
+
+/** Makes calls on behalf of a caller: chooses targets, retries, and returns one whole answer. */
+export interface Gateway {
+  /** The answer of the call, or an answer that tells its failure. Never rejects. */
+  call(request: CallRequest, signal: AbortSignal): Promise<CallAnswer>;
+}
+
+/** What a gateway needs. */
+export interface GatewayOptions {
+  clock: Clock;
+  random: RandomSource;
+  transport: CallTransport;
+  router: TargetRouter;
+  retryBudget: RetryBudget;
+  histograms: Histograms;
+  /** Finds policy, context and allowance of a request. */
+  originOf: (request: CallRequest) => Result<CallOrigin, Failure>;
+  /** Unique id of this process, part of every request id. */
+  incarnation: string;
+}
+
+/** One call while its attempts are made. */
+interface CallInProgress {
+  request: CallRequest;
+  policy: CallPolicy;
+  context: CallContext;
+  allowance: AttemptAllowance;
+  signal: AbortSignal;
+  attempts: number;
+  /** True once an attempt may have run: from then on "not run" is no longer the truth. */
+  mayHaveRun: boolean;
+  tried: Set<string>;
+}
+
+interface AttemptEnd {
+  answer: CallAnswer;
+  code: ResultNumber;
+}
+
+/** Makes a gateway. */
+export function createGateway(options: GatewayOptions): Gateway {
+  const { clock, router, transport } = options;
+  let requests = 0;
+
+  function nextRequestId(): string {
+    requests += 1;
+    return `${options.incarnation}-${requests}`;
+  }
+
+  function endOfFailure(failure: Failure): AttemptEnd {
+    return { answer: answerOfFailure(failure), code: failure.code };
+  }
+
+  async function send(call: CallInProgress, member: Member): Promise<AttemptEnd> {
+    const { policy, context, request } = call;
+    const now = clock.now();
+    const remainingMs = remainingForHopMs(context.deadlineAt, now);
+    if (remainingMs === 0) {
+      const message = `no time is left for ${policy.name}`;
+      return endOfFailure(createFailure(ResultCode.notRunDeadline, message));
+    }
+    const grant = call.allowance.grantForAttempt();
+    const headers = {
+      ...passedHeaders(request.headers),
+      ...encodeHop(context, grant.tokens, remainingMs),
+      [CallHeader.request]: nextRequestId(),
+    };
+    const sent = await transport.send(
+      { address: member.address, port: member.callPort },
+      `/hop/${policy.service}/${policy.name.slice(policy.service.length + 1)}`,
+      { call: policy.name, headers, body: request.body },
+      {
+        timeoutMs: remainingMs + ANSWER_GRACE_MS,
+        maxAnswerBytes: policy.maxAnswerBytes,
+        signal: call.signal,
+      },
+    );
+    if (sent.isErr()) {
+      // Where no byte was sent nothing was spent below; else what was spent is not known.
+      if (isNotRun(sent.error.code)) grant.settle(grant.tokens);
+      else grant.forfeit();
+      return endOfFailure(sent.error);
+    }
+    grant.settle(numberOfAnswer(sent.value, CallHeader.tokensLeft, 0));
+    router.noteAnswer(member, sent.value);
+    return { answer: sent.value, code: codeOfAnswer(sent.value) };
+  }
+
+  async function attempt(call: CallInProgress): Promise<AttemptEnd> {
+    const chosen = router.choose(call.policy, call.context, call.tried);
+    if (chosen.isErr()) return endOfFailure(chosen.error);
+    const member = chosen.value;
+    call.tried.add(member.incarnation);
+    call.attempts += 1;
+    router.begin(member);
+    try {
+      return await send(call, member);
+    } finally {
+      router.end(member);
+    }
+  }
+
+  /** Pays for a retry and waits before it; false when the call must end now. */
+  async function prepareRetry(call: CallInProgress, end: AttemptEnd): Promise<boolean> {
+    const { policy, context, signal } = call;
+    const sameHome = policy.execution === 'atMostOnce';
+    if (!mayRetry({ code: end.code, execution: policy.execution, sameHome })) return false;
+    const remainingMs = context.deadlineAt - clock.now();
+    const waitMs = backoffMs(call.attempts, remainingMs, options.random);
+    if (waitMs === undefined || signal.aborted) return false;
+    if (call.allowance.left === 0 || !options.retryBudget.tryRetry(policy.service)) return false;
+    call.allowance.spend();
+    await clock.sleep(waitMs, signal).catch(() => undefined);
+    return !signal.aborted;
+  }
+
+  /** An earlier attempt may have run, so a later refusal does not make the call "not run". */
+  function truthful(call: CallInProgress, end: AttemptEnd): AttemptEnd {
+    if (!call.mayHaveRun || !isNotRun(end.code)) return end;
+    const message = `an earlier attempt of ${call.policy.name} may have run; the last one was refused with ${end.code}`;
+    return endOfFailure(createFailure(ResultCode.unknownConnectionLost, message));
+  }
+
+  async function makeAttempts(call: CallInProgress): Promise<AttemptEnd> {
+    for (;;) {
+      const end = await attempt(call);
+      if (end.code === ResultCode.ok) return end;
+      if (isOutcomeUnknown(end.code)) call.mayHaveRun = true;
+      if (!(await prepareRetry(call, end))) return truthful(call, end);
+    }
+  }
+
+  async function run(origin: CallOrigin, request: CallRequest, signal: AbortSignal) {
+    const startedAt = clock.now();
+    const { policy, context, allowance } = origin;
+    options.retryBudget.recordCall(policy.service);
+    const call: CallInProgress = {
+      request,
+      policy,
+      context,
+      allowance,
+      signal,
+      attempts: 0,
+      mayHaveRun: false,
+      tried: new Set(),
+    };
+    const end = await makeAttempts(call);
+    origin.settle();
+    options.histograms.record({
+      importance: context.importance,
+      caller: context.caller,
+      latencyMs: clock.now() - startedAt,
+      attempts: call.attempts,
+    });
+    return end.answer;
+  }
+
+  return {
+    call: async (request, signal) => {
+      const origin = options.originOf(request);
+      if (origin.isErr()) return answerOfFailure(origin.error);
+      return run(origin.value, request, AbortSignal.any([signal, origin.value.signal]));
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/guard.ts
@@ -0,0 +1,197 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { v7 as uuidv7 } from 'uuid';
+import type { Admission, Outcome, Permit } from './admission.js';
+import { AttemptAllowance } from './attemptAllowance.js';
+import type { CallAnswer, CallRequest, CallTransport } from './call.js';
+import { answerOfFailure, passedHeaders } from './callAnswer.js';
+import { decodeHop } from './callContext.js';
+import type { HopContext } from './callContext.js';
+import { CallHeader } from './callHeaders.js';
+import type { Clock } from './clock.js';
+import type { CallPolicy, Configuration } from './configuration.js';
+import { remainingForHopMs } from './deadline.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import type { Histograms } from './histograms.js';
+import { ResultCode } from './resultCode.js';
+import type { RunningCalls } from './runningCalls.js';
+import type { TargetRegistry } from './targetRegistry.js';
+
+/** Statuses with which a target says that it has too much to do. */
+const overloadStatuses = new Set([429, 503]);
+
+/** Lets calls from other daemons in to the target beside this one. */
+export interface Guard {
+  /** The target's answer, or an answer that tells why there is none. Never rejects. */
+  handle(request: CallRequest, signal: AbortSignal): Promise<CallAnswer>;
+}
+
+/** Runs `work` at most once for the key of the call; see `oneShot.ts`. */
+export type OneShotRunner = (
+  policy: CallPolicy,
+  context: HopContext,
+  work: (notAfter: number) => Promise<Result<CallAnswer, Failure>>,
+) => Promise<Result<CallAnswer, Failure>>;
+
+/** What a guard needs. */
+export interface GuardOptions {
+  clock: Clock;
+  transport: CallTransport;
+  admission: Admission;
+  registry: TargetRegistry;
+  runningCalls: RunningCalls;
+  histograms: Histograms;
+  configuration: () => Configuration | undefined;
+  oneShot: OneShotRunner;
+  /** Unique id of this process. */
+  incarnation: string;
+}
+
+interface GuardedCall {
+  request: CallRequest;
+  policy: CallPolicy;
+  context: HopContext;
+  allowance: AttemptAllowance;
+  signal: AbortSignal;
+}
+
+function failed(code: Failure['code'], message: string): Result<never, Failure> {
+  return Err(createFailure(code, message));
+}
+
+function outcomeOf(result: Result<CallAnswer, Failure>, signal: AbortSignal): Outcome {
+  if (result.isOk()) return 'completed';
+  if (signal.aborted) return 'cancelled';
+  const { code } = result.error;
+  const refused =
+    code === ResultCode.notRunTargetRefused || code === ResultCode.unknownTargetOverloaded;
+  return refused ? 'targetRefused' : 'failed';
+}
+
+/** A target that is overloaded says whether it began; only its own word makes it "not run". */
+function checkTargetAnswer(answer: CallAnswer): Result<CallAnswer, Failure> {
+  if (answer.headers[CallHeader.refused] !== undefined) {
+    return failed(ResultCode.notRunTargetRefused, 'the target refused before it began');
+  }
+  if (overloadStatuses.has(answer.status)) {
+    const message = `the target answered ${answer.status} without ${CallHeader.refused}, so it may have begun`;
+    return failed(ResultCode.unknownTargetOverloaded, message);
+  }
+  return Ok(answer);
+}
+
+/** Makes the guard of the target beside this daemon. */
+export function createGuard(options: GuardOptions): Guard {
+  const { clock, admission, registry, runningCalls } = options;
+
+  function headersForTarget(call: GuardedCall, id: string, remainingMs: number) {
+    const headers = passedHeaders(call.request.headers);
+    headers[CallHeader.parent] = id;
+    headers[CallHeader.root] = call.context.root;
+    headers[CallHeader.caller] = call.context.caller;
+    headers[CallHeader.importance] = call.context.importance;
+    headers[CallHeader.deadline] = String(remainingMs);
+    if (call.context.key) headers[CallHeader.key] = call.context.key;
+    return headers;
+  }
+
+  async function sendToTarget(call: GuardedCall, id: string, notAfter: number) {
+    const { policy, request } = call;
+    const target = registry.current();
+    if (!target) return failed(ResultCode.notRunNoTarget, 'the target beside this daemon is gone');
+    const now = clock.now();
+    const remainingMs = remainingForHopMs(Math.min(call.context.deadlineAt, notAfter), now);
+    if (remainingMs === 0) {
+      return failed(ResultCode.notRunDeadline, 'no time was left when the call reached its target');
+    }
+    const name = policy.name.slice(policy.service.length + 1);
+    const sent = await options.transport.send(
+      target,
+      `/${policy.service}/${name}`,
+      {
+        call: policy.name,
+        headers: headersForTarget(call, id, remainingMs),
+        body: request.body,
+      },
+      { timeoutMs: remainingMs, maxAnswerBytes: policy.maxAnswerBytes, signal: call.signal },
+    );
+    return sent.isErr() ? sent : checkTargetAnswer(sent.value);
+  }
+
+  async function runAtTarget(call: GuardedCall, permit: Permit, notAfter: number) {
+    const { policy, context, allowance, signal } = call;
+    const id = uuidv7();
+    runningCalls.begin({ id, policy, context, allowance, signal, children: new Map() });
+    options.histograms.record({
+      importance: context.importance,
+      caller: context.caller,
+      queueTimeMs: permit.waitedMs,
+      concurrency: admission.load().inFlight,
+    });
+    const result = await sendToTarget(call, id, notAfter);
+    runningCalls.end(id);
+    permit.release(outcomeOf(result, signal));
+    return result;
+  }
+
+  async function admitAndRun(
+    call: GuardedCall,
+    notAfter: number,
+  ): Promise<Result<CallAnswer, Failure>> {
+    const permit = await admission.enter({ ...call.context, signal: call.signal });
+    if (permit.isErr()) return permit;
+    return runAtTarget(call, permit.value, notAfter);
+  }
+
+  function refusal(policy: CallPolicy): Failure | undefined {
+    const state = registry.state();
+    if (state === 'draining') {
+      return createFailure(
+        ResultCode.notRunDraining,
+        `this target of ${policy.service} is leaving`,
+      );
+    }
+    if (state !== 'serving' || registry.current()?.service !== policy.service) {
+      return createFailure(ResultCode.notRunNoTarget, `no target of ${policy.service} serves here`);
+    }
+    return undefined;
+  }
+
+  async function run(call: GuardedCall): Promise<Result<CallAnswer, Failure>> {
+    const refused = refusal(call.policy);
+    if (refused) return Err(refused);
+    if (call.policy.execution === 'repeatable') return admitAndRun(call, Infinity);
+    // A retry of the same key joins the running call, so it outlives the caller that began it.
+    const kept = { ...call, signal: new AbortController().signal };
+    return options.oneShot(call.policy, call.context, (notAfter) => admitAndRun(kept, notAfter));
+  }
+
+  function finish(answer: CallAnswer, request: CallRequest, tokensLeft: number): CallAnswer {
+    const { headers } = answer;
+    const passed = passedHeaders(headers);
+    passed[CallHeader.code] = headers[CallHeader.code] ?? String(ResultCode.ok);
+    passed[CallHeader.tokensLeft] = String(tokensLeft);
+    passed[CallHeader.shedLevel] = String(admission.shedLevel());
+    passed[CallHeader.request] = request.headers[CallHeader.request] ?? '';
+    return { ...answer, headers: passed };
+  }
+
+  return {
+    handle: async (request, signal) => {
+      const context = decodeHop(request.headers, clock.now());
+      if (context.isErr()) return finish(answerOfFailure(context.error), request, 0);
+      const policy = options.configuration()?.calls[request.call];
+      if (!policy) {
+        const message = `this daemon has no configuration for ${request.call} yet`;
+        const failure = createFailure(ResultCode.configurationMissing, message);
+        return finish(answerOfFailure(failure), request, context.value.tokens);
+      }
+      const allowance = new AttemptAllowance(context.value.tokens, policy.children.length);
+      const call: GuardedCall = { request, policy, context: context.value, allowance, signal };
+      const result = await run(call);
+      const answer = result.isOk() ? result.value : answerOfFailure(result.error);
+      return finish(answer, request, allowance.close());
+    },
+  };
+}
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -9,6 +9,8 @@
   path: string;
   headers: Record<string, string | string[] | undefined>;
   body: Buffer;
+  /** IP address of the other end. */
+  remoteAddress: string;
   /** Aborted when the other end has gone before the answer was written. */
   signal: AbortSignal;
 }
@@ -77,6 +79,7 @@
     path: (incoming.url ?? '/').split('?', 1)[0] as string,
     headers: incoming.headers,
     body,
+    remoteAddress: incoming.socket.remoteAddress ?? '',
     signal: gone.signal,
   });
   writeAnswer(response, answer);
--- a/packages/core/src/resultCode.ts
+++ b/packages/core/src/resultCode.ts
@@ -20,6 +20,7 @@
   unknownAnswerTooLarge: 2004,
   unknownKeyMayHaveRun: 2005,
   unknownCancelled: 2006,
+  unknownTargetOverloaded: 2007,
 
   // 3xxx: the request itself is at fault; it was not run.
   badRequest: 3001,
--- /dev/null
+++ b/playground/src/deployment.ts
@@ -0,0 +1,110 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { stringify } from 'yaml';
+import type { Configuration, LogLevel, PeerAddress } from '@shallotcroft/core';
+import { startProcess } from './processes.js';
+import type { PlaygroundProcess } from './processes.js';
+import type { TargetCall } from './target.js';
+
+const LOOPBACK = '127.0.0.1';
+const daemonProgram = fileURLToPath(import.meta.resolve('@shallotcroft/daemon/main'));
+const targetProgram = fileURLToPath(new URL('./targetMain.js', import.meta.url));
+
+/** What a deployment on this machine consists of. */
+export interface DeploymentPlan {
+  configuration: Configuration;
+  dataCentres: string[];
+  /** Targets of each service. */
+  targetsPerService: number;
+  /** Work of a target for one call, in milliseconds. */
+  workMs: number;
+  logLevel: LogLevel;
+}
+
+/** A daemon and the target beside it, each a process. */
+export interface DeployedHost {
+  host: string;
+  service: string;
+  dataCentre: string;
+  callPort: number;
+  peer: PeerAddress;
+  daemon: PlaygroundProcess;
+  target: PlaygroundProcess;
+}
+
+/** Daemons and targets that run as processes of their own. */
+export interface Deployment {
+  hosts: DeployedHost[];
+  hostsOf(service: string): DeployedHost[];
+  /** Stops everything gracefully. */
+  stop(): Promise<void>;
+}
+
+interface ListeningDaemon {
+  listening: { callPort: number; peerPort: number };
+}
+
+function targetCalls(plan: DeploymentPlan, service: string): Record<string, TargetCall> {
+  const policies = Object.values(plan.configuration.calls).filter((c) => c.service === service);
+  return Object.fromEntries(
+    policies.map((policy) => [
+      policy.name.slice(service.length + 1),
+      { workMs: plan.workMs, children: policy.children },
+    ]),
+  );
+}
+
+/** Starts the daemons and targets of a plan on loopback. */
+export async function startDeployment(plan: DeploymentPlan): Promise<Deployment> {
+  const folder = mkdtempSync(path.join(tmpdir(), 'shallotcroft-'));
+  const hosts: DeployedHost[] = [];
+
+  function settingsFile(name: string, settings: unknown): string {
+    const file = path.join(folder, `${name}.yaml`);
+    writeFileSync(file, stringify(settings));
+    return file;
+  }
+
+  async function startHost(service: string, index: number): Promise<void> {
+    const host = `${service}-${index}`;
+    const dataCentre = plan.dataCentres[index % plan.dataCentres.length] as string;
+    const daemon = await startProcess(host, daemonProgram, [
+      '--settings',
+      settingsFile(`${host}-daemon`, {
+        host,
+        dataCentre,
+        address: LOOPBACK,
+        bootstrap: hosts.slice(0, 2).map((known) => known.peer),
+        logLevel: plan.logLevel,
+      }),
+    ]);
+    const { callPort, peerPort } = (daemon.ready as ListeningDaemon).listening;
+    const target = await startProcess(`${host}-target`, targetProgram, [
+      settingsFile(`${host}-target`, {
+        service,
+        address: LOOPBACK,
+        port: 0,
+        daemon: { address: LOOPBACK, port: callPort },
+        slots: plan.configuration.services[service]?.slots ?? 1,
+        calls: targetCalls(plan, service),
+      }),
+    ]);
+    const peer = { address: LOOPBACK, port: peerPort };
+    hosts.push({ host, service, dataCentre, callPort, peer, daemon, target });
+  }
+
+  for (const service of Object.keys(plan.configuration.services)) {
+    for (let index = 0; index < plan.targetsPerService; index++) await startHost(service, index);
+  }
+  return {
+    hosts,
+    hostsOf: (service) => hosts.filter((host) => host.service === service),
+    stop: async () => {
+      await Promise.all(hosts.map((host) => host.daemon.end('SIGTERM')));
+      await Promise.all(hosts.map((host) => host.target.end('SIGTERM')));
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+}
--- /dev/null
+++ b/playground/src/target.ts
@@ -0,0 +1,128 @@
+import { request } from 'undici';
+import { CallHeader, closeHttp, listenHttp, systemClock } from '@shallotcroft/core';
+import type { CallHeaders, Endpoint, HttpAnswer, HttpMessage } from '@shallotcroft/core';
+
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/** What a target does for one call: wait, make the calls below, answer. */
+export interface TargetCall {
+  /** Time that the work takes, in milliseconds. */
+  workMs: number;
+  /** Calls made one after the other, `service.call`. */
+  children: string[];
+}
+
+/** Settings of a target. */
+export interface TargetSettings {
+  service: string;
+  address: string;
+  /** 0 for any free port. */
+  port: number;
+  /** Call port of the daemon on the same host. */
+  daemon: Endpoint;
+  /** Calls worked on at once. */
+  slots: number;
+  /** By name within the service. */
+  calls: Record<string, TargetCall>;
+}
+
+/** A target that runs. */
+export interface Target {
+  port: number;
+  /** Number of executions begun, by call and key. */
+  executions: Map<string, number>;
+  stop(): Promise<void>;
+}
+
+/** One line of the answer: who ran what for whom. */
+interface AnswerPart {
+  call: string;
+  root: string;
+  below: unknown[];
+}
+
+/** Starts a target that announces itself to its daemon and calls others through it. */
+export async function startTarget(settings: TargetSettings): Promise<Target> {
+  const executions = new Map<string, number>();
+  const stopping = new AbortController();
+  const daemonUrl = `http://${settings.daemon.address}:${settings.daemon.port}`;
+
+  async function callBelow(name: string, message: HttpMessage): Promise<unknown> {
+    const headers: CallHeaders = {
+      [CallHeader.parent]: String(message.headers[CallHeader.parent] ?? ''),
+    };
+    const answer = await request(`${daemonUrl}/call/${name.replace('.', '/')}`, {
+      method: 'POST',
+      headers,
+      body: message.body,
+      signal: message.signal,
+    });
+    const body = await answer.body.text();
+    if (answer.statusCode !== 200)
+      throw new Error(`${name} answered ${answer.statusCode}: ${body}`);
+    return JSON.parse(body);
+  }
+
+  async function handle(message: HttpMessage): Promise<HttpAnswer> {
+    const [, service, name] = message.path.split('/');
+    const call = settings.calls[name ?? ''];
+    if (service !== settings.service || !call) {
+      return { status: 404, headers: {}, body: Buffer.from('{}') };
+    }
+    const key = `${name}#${String(message.headers[CallHeader.key] ?? '')}`;
+    executions.set(key, (executions.get(key) ?? 0) + 1);
+    const part: AnswerPart = {
+      call: `${service}.${name}`,
+      root: String(message.headers[CallHeader.root] ?? ''),
+      below: [],
+    };
+    if (call.workMs > 0) await systemClock.sleep(call.workMs, message.signal);
+    for (const child of call.children) part.below.push(await callBelow(child, message));
+    const body = Buffer.from(JSON.stringify(part));
+    return { status: 200, headers: { 'content-type': 'application/json' }, body };
+  }
+
+  async function answer(message: HttpMessage): Promise<HttpAnswer> {
+    try {
+      return await handle(message);
+    } catch (error) {
+      const body = Buffer.from(JSON.stringify({ message: (error as Error).message }));
+      return { status: 502, headers: { 'content-type': 'application/json' }, body };
+    }
+  }
+
+  const listening = await listenHttp(settings.address, settings.port, MAX_BODY_BYTES, answer);
+  listening.server.keepAliveTimeout = 60_000;
+
+  async function announce(): Promise<number> {
+    const announced = await request(`${daemonUrl}/announce`, {
+      method: 'POST',
+      body: JSON.stringify({
+        service: settings.service,
+        address: settings.address,
+        port: listening.port,
+        slots: settings.slots,
+      }),
+    });
+    const { renewAfterMs } = (await announced.body.json()) as { renewAfterMs: number };
+    return renewAfterMs;
+  }
+
+  async function keepAnnounced(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      const renewAfterMs = await announce().catch(() => 200);
+      await systemClock.sleep(renewAfterMs, stopping.signal).catch(() => undefined);
+    }
+  }
+
+  const announcing = keepAnnounced();
+  return {
+    port: listening.port,
+    executions,
+    stop: async () => {
+      stopping.abort(new Error('the target stops'));
+      await announcing;
+      await closeHttp(listening.server);
+    },
+  };
+}
