feat(core): in-process store with the faults of the real one

Homes, applying and the stand-in need a store whose answers can be lost. Sessions share a database (one revision for all keys, leases on the passed-in clock, a log of changes that can be compacted); faults belong to one session: down, slow past the caller's timeout, and a lost answer whose write lands early, late or never.

Ruled out: faults in the database itself, as one daemon cut off from the store must not cut off the others.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,7 @@
 export type { LogFields, Logger, LogLevel } from './logger.js';
 export { ControlMethod } from './control.js';
 export type { DaemonStatus, HistogramMeasure, HistogramRow } from './control.js';
+export { MemoryDatabase } from './memoryDatabase.js';
+export type { StoreChange } from './memoryDatabase.js';
+export { MemoryStore } from './memoryStore.js';
+export type { LostWriteEffect, StoreCounts } from './memoryStore.js';
--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -50,7 +50,10 @@
   /** Renews a lease; returns the seconds left, 0 when it has lapsed. */
   abstract keepLease(lease: string): Promise<Result<number, Failure>>;
 
-  /** Calls `listener` with each change of `prefix` until closed; reconnects by itself. */
+  /**
+   * Calls `listener` with each entry of `prefix` that is present, then with each change, until closed;
+   * a deleted key is told with modRevision 0. An entry may be told twice. Reconnects by itself.
+   */
   abstract watch(prefix: string, listener: (entry: StoreEntry) => void): Watch;
 
   /** Ends all connections. */
