--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,3 +72,7 @@
 export { createGuard } from './guard.js';
 export type { Guard, GuardOptions, OneShotRunner } from './guard.js';
 export { ProvisionalTransport } from './provisionalTransport.js';
+export { MemoryDatabase } from './memoryDatabase.js';
+export type { StoreChange } from './memoryDatabase.js';
+export { MemoryStore } from './memoryStore.js';
+export type { LostWriteEffect, StoreCounts } from './memoryStore.js';
