feat(core): attempt allowance, retry budget, backoff, retry decision, deadline

Cause: retries multiply at each hop; further attempts now cost tokens of one end-to-end allowance, and a token is in one place only.

Ruled out: a depth limit on retries (does not bound the fan-out); handing all tokens to the attempt (a lost answer would then forfeit every later retry); floor division among children (a lone token would wait for the last child).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,15 @@
 export type { LogFields, Logger, LogLevel } from './logger.js';
 export { ControlMethod } from './control.js';
 export type { DaemonStatus, HistogramMeasure, HistogramRow } from './control.js';
+export { AttemptAllowance, MAX_ATTEMPT_TOKENS, parseTokens } from './attemptAllowance.js';
+export { RETRY_RATIO, RetryBudget, SPARE_RETRIES } from './retryBudget.js';
+export { backoffMs } from './backoff.js';
+export { mayRetry } from './retryDecision.js';
+export type { RetryCase } from './retryDecision.js';
+export {
+  HOP_COST_MS,
+  MAX_DEADLINE_MS,
+  deadlineAt,
+  parseDeadlineMs,
+  remainingForHopMs,
+} from './deadline.js';
--- /dev/null
+++ b/packages/core/src/retryDecision.ts
@@ -0,0 +1,30 @@
+import type { Execution } from './configuration.js';
+import { ResultCode, isNotRun, isOutcomeUnknown } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
+
+/** What a retry would repeat. */
+export interface RetryCase {
+  code: ResultNumber;
+  execution: Execution;
+  /** True when the retry carries the same key to the same home, which recognises it. */
+  sameHome: boolean;
+}
+
+// A further attempt would meet the same end.
+const finalCodes = new Set<ResultNumber>([
+  ResultCode.notRunDeadline,
+  ResultCode.notRunCancelled,
+  ResultCode.unknownCancelled,
+  ResultCode.unknownAnswerTooLarge,
+  ResultCode.unknownKeyMayHaveRun,
+]);
+
+/**
+ * True when a further attempt does no harm and may help: the call was not run, or may be run
+ * twice, or its home keeps it from running twice. Tokens and budgets are asked separately.
+ */
+export function mayRetry({ code, execution, sameHome }: RetryCase): boolean {
+  if (finalCodes.has(code)) return false;
+  if (isOutcomeUnknown(code)) return execution === 'repeatable' || sameHome;
+  return isNotRun(code) && code < ResultCode.badRequest;
+}
