--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,3 +76,15 @@
 export type { StoreChange } from './memoryDatabase.js';
 export { MemoryStore } from './memoryStore.js';
 export type { LostWriteEffect, StoreCounts } from './memoryStore.js';
+export { AttemptAllowance, MAX_ATTEMPT_TOKENS, parseTokens } from './attemptAllowance.js';
+export { RETRY_RATIO, RetryBudget, SPARE_RETRIES } from './retryBudget.js';
+export { backoffMs } from './backoff.js';
+export { mayRetry } from './retryDecision.js';
+export type { RetryCase } from './retryDecision.js';
+export {
+  HOP_COST_MS,
+  MAX_DEADLINE_MS,
+  deadlineAt,
+  parseDeadlineMs,
+  remainingForHopMs,
+} from './deadline.js';
