--- /dev/null
+++ b/packages/core/src/callProgress.ts
@@ -0,0 +1,57 @@
+import type { AttemptAllowance } from './attemptAllowance.js';
+import type { CallRequest } from './call.js';
+import type { CallContext } from './callContext.js';
+import type { CallOrigin } from './callOrigin.js';
+import type { CallPolicy } from './configuration.js';
+import type { Member } from './member.js';
+
+/** One call while its attempts are made. */
+export class CallProgress {
+  readonly policy: CallPolicy;
+
+  readonly context: CallContext;
+
+  readonly allowance: AttemptAllowance;
+
+  private readonly triedMembers = new Set<string>();
+
+  private attemptCount = 0;
+
+  private unknown = false;
+
+  constructor(
+    readonly request: CallRequest,
+    origin: CallOrigin,
+    readonly signal: AbortSignal,
+  ) {
+    this.policy = origin.policy;
+    this.context = origin.context;
+    this.allowance = origin.allowance;
+  }
+
+  /** Attempts made so far. */
+  get attempts(): number {
+    return this.attemptCount;
+  }
+
+  /** Incarnations of the daemons that were tried. */
+  get tried(): ReadonlySet<string> {
+    return this.triedMembers;
+  }
+
+  /** True once an attempt may have run: from then on "not run" is no longer the truth. */
+  get mayHaveRun(): boolean {
+    return this.unknown;
+  }
+
+  /** Counts an attempt. */
+  recordAttempt(member: Member): void {
+    this.attemptCount += 1;
+    this.triedMembers.add(member.incarnation);
+  }
+
+  /** Notes that an attempt ended without telling whether it ran. */
+  recordUnknownOutcome(): void {
+    this.unknown = true;
+  }
+}
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -1,14 +1,12 @@
 import type { Result } from 'ts-results-es';
 import { backoffMs } from './backoff.js';
-import type { AttemptAllowance } from './attemptAllowance.js';
 import type { CallAnswer, CallRequest, CallTransport } from './call.js';
 import { answerOfFailure, codeOfAnswer, numberOfAnswer, passedHeaders } from './callAnswer.js';
 import { encodeHop } from './callContext.js';
-import type { CallContext } from './callContext.js';
 import { CallHeader } from './callHeaders.js';
+import { CallProgress } from './callProgress.js';
 import type { CallOrigin } from './callOrigin.js';
 import type { Clock } from './clock.js';
-import type { CallPolicy } from './configuration.js';
 import { remainingForHopMs } from './deadline.js';
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
@@ -44,19 +42,6 @@
   incarnation: string;
 }
 
-/** One call while its attempts are made. */
-interface CallInProgress {
-  request: CallRequest;
-  policy: CallPolicy;
-  context: CallContext;
-  allowance: AttemptAllowance;
-  signal: AbortSignal;
-  attempts: number;
-  /** True once an attempt may have run: from then on "not run" is no longer the truth. */
-  mayHaveRun: boolean;
-  tried: Set<string>;
-}
-
 interface AttemptEnd {
   answer: CallAnswer;
   code: ResultNumber;
@@ -76,7 +61,7 @@
     return { answer: answerOfFailure(failure), code: failure.code };
   }
 
-  async function send(call: CallInProgress, member: Member): Promise<AttemptEnd> {
+  async function send(call: CallProgress, member: Member): Promise<AttemptEnd> {
     const { policy, context, request } = call;
     const now = clock.now();
     const remainingMs = remainingForHopMs(context.deadlineAt, now);
@@ -111,12 +96,11 @@
     return { answer: sent.value, code: codeOfAnswer(sent.value) };
   }
 
-  async function attempt(call: CallInProgress): Promise<AttemptEnd> {
+  async function attempt(call: CallProgress): Promise<AttemptEnd> {
     const chosen = router.choose(call.policy, call.context, call.tried);
     if (chosen.isErr()) return endOfFailure(chosen.error);
     const member = chosen.value;
-    call.tried.add(member.incarnation);
-    call.attempts += 1;
+    call.recordAttempt(member);
     router.begin(member);
     try {
       return await send(call, member);
@@ -126,7 +110,7 @@
   }
 
   /** Pays for a retry and waits before it; false when the call must end now. */
-  async function prepareRetry(call: CallInProgress, end: AttemptEnd): Promise<boolean> {
+  async function prepareRetry(call: CallProgress, end: AttemptEnd): Promise<boolean> {
     const { policy, context, signal } = call;
     const sameHome = policy.execution === 'atMostOnce';
     if (!mayRetry({ code: end.code, execution: policy.execution, sameHome })) return false;
@@ -140,35 +124,26 @@
   }
 
   /** An earlier attempt may have run, so a later refusal does not make the call "not run". */
-  function truthful(call: CallInProgress, end: AttemptEnd): AttemptEnd {
+  function truthful(call: CallProgress, end: AttemptEnd): AttemptEnd {
     if (!call.mayHaveRun || !isNotRun(end.code)) return end;
     const message = `an earlier attempt of ${call.policy.name} may have run; the last one was refused with ${end.code}`;
     return endOfFailure(createFailure(ResultCode.unknownConnectionLost, message));
   }
 
-  async function makeAttempts(call: CallInProgress): Promise<AttemptEnd> {
+  async function makeAttempts(call: CallProgress): Promise<AttemptEnd> {
     for (;;) {
       const end = await attempt(call);
       if (end.code === ResultCode.ok) return end;
-      if (isOutcomeUnknown(end.code)) call.mayHaveRun = true;
+      if (isOutcomeUnknown(end.code)) call.recordUnknownOutcome();
       if (!(await prepareRetry(call, end))) return truthful(call, end);
     }
   }
 
   async function run(origin: CallOrigin, request: CallRequest, signal: AbortSignal) {
     const startedAt = clock.now();
-    const { policy, context, allowance } = origin;
+    const { policy, context } = origin;
     options.retryBudget.recordCall(policy.service);
-    const call: CallInProgress = {
-      request,
-      policy,
-      context,
-      allowance,
-      signal,
-      attempts: 0,
-      mayHaveRun: false,
-      tried: new Set(),
-    };
+    const call = new CallProgress(request, origin, signal);
     const end = await makeAttempts(call);
     origin.settle();
     options.histograms.record({
--- a/playground/src/target.ts
+++ b/playground/src/target.ts
@@ -51,15 +51,16 @@
     const headers: CallHeaders = {
       [CallHeader.parent]: String(message.headers[CallHeader.parent] ?? ''),
     };
-    const answer = await request(`${daemonUrl}/call/${name.replace('.', '/')}`, {
+    const below = await request(`${daemonUrl}/call/${name.replace('.', '/')}`, {
       method: 'POST',
       headers,
       body: message.body,
       signal: message.signal,
     });
-    const body = await answer.body.text();
-    if (answer.statusCode !== 200)
-      throw new Error(`${name} answered ${answer.statusCode}: ${body}`);
+    const body = await below.body.text();
+    if (below.statusCode !== 200) {
+      throw new Error(`${name} answered ${below.statusCode}: ${body}`);
+    }
     return JSON.parse(body);
   }
 
