--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,3 +88,9 @@
   parseDeadlineMs,
   remainingForHopMs,
 } from './deadline.js';
+export { createDirectoryClient } from './directoryClient.js';
+export type { DirectoryClient, DirectoryClientOptions } from './directoryClient.js';
+export { DIRECTORY_VIEW_METHOD, serveDirectoryViews } from './directoryView.js';
+export type { DirectoryQuery, DirectoryView } from './directoryView.js';
+export { createEmbeddedCaller } from './embeddedCaller.js';
+export type { CallOptions, EmbeddedCaller, EmbeddedCallerOptions } from './embeddedCaller.js';
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -9,6 +9,7 @@
   createTargetChooser,
   createTargetRegistry,
   createTargetRouter,
+  serveDirectoryViews,
 } from '@shallotcroft/core';
 import type {
   CallTransport,
@@ -131,6 +132,7 @@
     configurationInForce = params as Configuration;
     return configurationInForce.revision;
   });
+  serveDirectoryViews(methods, membership, configuration);
   methods.register(ControlMethod.status, async () => status());
   methods.register(ControlMethod.members, async () => membership.members());
   methods.register(ControlMethod.histograms, async () => histograms.rows());
