feat(core): admission with waiting room, shedding level and adaptive limits

A target needs one place that decides which calls reach it, and when. Conclusion: fixed, unlimited, AIMD, gradient and Vegas limits behind one contract; Vegas is the default until measured. `release` takes the time spent below, so that a slow deep service is not taken for a queue of the target above it.

--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -20,8 +20,11 @@
 export interface Permit {
   /** Time spent waiting, in milliseconds. */
   readonly waitedMs: number;
-  /** Gives the slot back; to be called exactly once. */
-  release(outcome: Outcome): void;
+  /**
+   * Gives the slot back; only the first call counts. `belowMs` is the part of the time that the
+   * target spent waiting for its own calls to other services, in milliseconds.
+   */
+  release(outcome: Outcome, belowMs?: number): void;
 }
 
 /** Decides which calls reach the target, and when. */
--- /dev/null
+++ b/packages/core/src/fixedLimit.ts
@@ -0,0 +1,15 @@
+import { ConcurrencyLimit } from './concurrencyLimit.js';
+
+/** A limit that the operators gave. */
+export class FixedLimit extends ConcurrencyLimit {
+  constructor(private readonly slots: number) {
+    super();
+  }
+
+  override current(): number {
+    return Math.max(1, Math.floor(this.slots));
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  override observe(): void {}
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,3 +88,19 @@
   parseDeadlineMs,
   remainingForHopMs,
 } from './deadline.js';
+export { AimdLimit } from './aimdLimit.js';
+export { AdaptiveLimit } from './adaptiveLimit.js';
+export type { LatencyRound, LimitBounds } from './adaptiveLimit.js';
+export { createCallerShedding } from './callerShedding.js';
+export type { CallerShedding } from './callerShedding.js';
+export { ConcurrencyLimit } from './concurrencyLimit.js';
+export type { LimitSample } from './concurrencyLimit.js';
+export { FixedLimit } from './fixedLimit.js';
+export { GradientLimit } from './gradientLimit.js';
+export { PLACE_COUNT, placeOf } from './shedLevel.js';
+export { createAdmission } from './targetAdmission.js';
+export type { AdaptiveLimitFactory, AdmissionParts } from './targetAdmission.js';
+export { TargetHints } from './targetHints.js';
+export type { TargetReport } from './targetHints.js';
+export { UnlimitedLimit } from './unlimitedLimit.js';
+export { VegasLimit } from './vegasLimit.js';
--- /dev/null
+++ b/packages/core/src/targetAdmission.ts
@@ -0,0 +1,291 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type {
+  Admission,
+  AdmissionRequest,
+  AdmissionSettings,
+  Outcome,
+  Permit,
+} from './admission.js';
+import type { LimitBounds } from './adaptiveLimit.js';
+import { profileOf } from './admissionProfile.js';
+import type { Clock } from './clock.js';
+import type { ConcurrencyLimit } from './concurrencyLimit.js';
+import { ExpectedService } from './expectedService.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import { FixedLimit } from './fixedLimit.js';
+import { ResultCode } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
+import { ShedLevel, placeOf } from './shedLevel.js';
+import { TargetHints } from './targetHints.js';
+import { UnlimitedLimit } from './unlimitedLimit.js';
+import { VegasLimit } from './vegasLimit.js';
+import { WaitingRoom } from './waitingRoom.js';
+import type { Waiter } from './waitingRoom.js';
+
+/** What admission is built from. */
+export interface AdmissionParts {
+  clock: Clock;
+  settings: AdmissionSettings;
+  /** Reports of the target on itself, which at most narrow a cold start. */
+  hints?: TargetHints;
+  /** Makes the adaptive limit; to weigh one way against another. */
+  adaptiveLimit?: AdaptiveLimitFactory;
+}
+
+/** Makes an adaptive limit within bounds. */
+export type AdaptiveLimitFactory = (bounds: LimitBounds) => ConcurrencyLimit;
+
+const MIN_LIMIT = 2;
+/** Share of the slots that a cold target is given at first. */
+const COLD_START_SHARE = 0.25;
+/** Most that an adaptive limit may be, in multiples of the slots. */
+const MAX_SLOTS_MULTIPLE = 10;
+const MIN_ROOM = 2;
+/** Time between adjustments of the level, in milliseconds. */
+const LEVEL_STEP_MS = 100;
+/** Steps that are caught up with at most after a quiet time. */
+const MAX_STEPS_BEHIND = 50;
+
+interface WaitingCall extends Waiter {
+  enteredAt: number;
+  settle(result: Result<Permit, Failure>): void;
+}
+
+const messages = new Map<ResultNumber, string>([
+  [ResultCode.notRunShed, 'the target is overloaded; try again later'],
+  [ResultCode.notRunQueueTimeout, 'no slot became free in time; try again later'],
+  [ResultCode.notRunDeadline, 'too little time is left for the call; allow it more'],
+  [ResultCode.notRunCancelled, 'the caller has gone; nothing is to be done'],
+  [ResultCode.notRunDraining, 'the target is leaving; send the call to another'],
+]);
+
+function refusal(code: ResultNumber): Err<Failure> {
+  return Err(createFailure(code, messages.get(code) ?? 'the call was not run'));
+}
+
+class TargetAdmission implements Admission {
+  private limit: ConcurrencyLimit;
+
+  private readonly room = new WaitingRoom<WaitingCall>();
+
+  private readonly expected = new ExpectedService();
+
+  private readonly level: ShedLevel;
+
+  private readonly clock: Clock;
+
+  private settings: AdmissionSettings;
+
+  private inFlight = 0;
+
+  private closed = false;
+
+  private refusals = 0;
+
+  private peakWaiting = 0;
+
+  private steppedAt: number;
+
+  constructor(private readonly parts: AdmissionParts) {
+    this.clock = parts.clock;
+    this.settings = parts.settings;
+    this.limit = this.createLimit();
+    this.level = new ShedLevel(profileOf(parts.settings.objective).pace);
+    this.steppedAt = this.clock.now();
+  }
+
+  enter(request: AdmissionRequest): Promise<Result<Permit, Failure>> {
+    const place = placeOf(request.importance, request.caller);
+    this.stepLevel();
+    const refused = this.refuseAtOnce(request);
+    if (refused) return Promise.resolve(refused);
+    this.level.countArrival(place);
+    if (this.room.size === 0 && this.inFlight < this.limit.current()) {
+      return Promise.resolve(Ok(this.grant(this.clock.now())));
+    }
+    return this.wait(request, place);
+  }
+
+  shedLevel(): number {
+    this.stepLevel();
+    return this.level.current();
+  }
+
+  load() {
+    return { inFlight: this.inFlight, waiting: this.room.size, limit: this.limit.current() };
+  }
+
+  reconfigure(settings: AdmissionSettings): void {
+    const before = this.settings;
+    this.settings = settings;
+    this.level.setPace(profileOf(settings.objective).pace);
+    const same = before.limit === settings.limit && before.slots === settings.slots;
+    if (!same) this.limit = this.createLimit();
+    this.admitWaiting();
+  }
+
+  close(): void {
+    this.closed = true;
+    this.room.takeWhere(() => true).forEach((call) => this.refuse(call, ResultCode.notRunDraining));
+  }
+
+  private createLimit(): ConcurrencyLimit {
+    const { limit, slots } = this.settings;
+    if (limit === 'none') return new UnlimitedLimit();
+    if (limit === 'fixed') return new FixedLimit(slots);
+    const usual = Math.max(MIN_LIMIT, Math.ceil(slots * COLD_START_SHARE));
+    const hints = this.parts.hints ?? new TargetHints();
+    const bounds = {
+      initial: hints.startLimit(usual, MIN_LIMIT),
+      minimum: MIN_LIMIT,
+      maximum: Math.max(MIN_LIMIT, slots * MAX_SLOTS_MULTIPLE),
+    };
+    return this.parts.adaptiveLimit?.(bounds) ?? new VegasLimit(bounds);
+  }
+
+  private refuseAtOnce(request: AdmissionRequest): Err<Failure> | undefined {
+    if (this.closed) return refusal(ResultCode.notRunDraining);
+    if (request.signal.aborted) return refusal(ResultCode.notRunCancelled);
+    if (this.isTooLate(request.deadlineAt)) return refusal(ResultCode.notRunDeadline);
+    return undefined;
+  }
+
+  private isTooLate(deadlineAt: number): boolean {
+    return this.clock.now() >= this.latestStart(deadlineAt);
+  }
+
+  /** Past this time the answer could not reach the caller before its deadline. */
+  private latestStart(deadlineAt: number): number {
+    if (this.settings.limit === 'none') return deadlineAt;
+    const { headroom } = profileOf(this.settings.objective);
+    return deadlineAt - headroom * this.expected.at(this.clock.now());
+  }
+
+  private wait(request: AdmissionRequest, place: number): Promise<Result<Permit, Failure>> {
+    return new Promise((resolve) => {
+      const call = this.createWaitingCall(request, place, resolve);
+      this.room.add(call);
+      this.room.takeOver(this.roomCapacity()).forEach((lowest) => {
+        this.refuseForPressure(lowest, ResultCode.notRunShed);
+      });
+      this.peakWaiting = Math.max(this.peakWaiting, this.room.size);
+    });
+  }
+
+  private createWaitingCall(
+    request: AdmissionRequest,
+    place: number,
+    resolve: (result: Result<Permit, Failure>) => void,
+  ): WaitingCall {
+    const { deadlineAt, signal } = request;
+    const enteredAt = this.clock.now();
+    const watch = new AbortController();
+    const call: WaitingCall = {
+      place,
+      deadlineAt,
+      enteredAt,
+      settle: (result) => {
+        watch.abort();
+        resolve(result);
+      },
+    };
+    const timer = this.clock.startTimer(this.longestWait(deadlineAt), () => this.giveUp(call));
+    watch.signal.addEventListener('abort', () => timer.cancel());
+    signal.addEventListener('abort', () => this.leave(call), { signal: watch.signal });
+    return call;
+  }
+
+  private longestWait(deadlineAt: number): number {
+    const { maxWaitMs } = profileOf(this.settings.objective);
+    return Math.min(maxWaitMs, this.latestStart(deadlineAt) - this.clock.now());
+  }
+
+  private roomCapacity(): number {
+    const { roomPerLimit } = profileOf(this.settings.objective);
+    return Math.max(MIN_ROOM, Math.ceil(roomPerLimit * this.limit.current()));
+  }
+
+  /** The caller has gone. */
+  private leave(call: WaitingCall): void {
+    if (this.room.remove(call)) this.refuse(call, ResultCode.notRunCancelled);
+  }
+
+  /** The wait was too long. Whoever is of a lower place has even less to hope for. */
+  private giveUp(call: WaitingCall): void {
+    if (!this.room.remove(call)) return;
+    if (this.isTooLate(call.deadlineAt)) {
+      this.refuse(call, ResultCode.notRunDeadline);
+      return;
+    }
+    this.refuseForPressure(call, ResultCode.notRunQueueTimeout);
+    this.room
+      .takeWhere((other) => other.place < call.place)
+      .forEach((other) => this.refuseForPressure(other, ResultCode.notRunShed));
+  }
+
+  private refuseForPressure(call: WaitingCall, code: ResultNumber): void {
+    this.refusals += 1;
+    this.refuse(call, code);
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private refuse(call: WaitingCall, code: ResultNumber): void {
+    call.settle(refusal(code));
+  }
+
+  private grant(enteredAt: number): Permit {
+    const startedAt = this.clock.now();
+    this.inFlight += 1;
+    let held = true;
+    return {
+      waitedMs: startedAt - enteredAt,
+      release: (outcome, belowMs = 0) => {
+        if (!held) return;
+        held = false;
+        this.finish(startedAt, outcome, belowMs);
+      },
+    };
+  }
+
+  private finish(startedAt: number, outcome: Outcome, belowMs: number): void {
+    const at = this.clock.now();
+    const totalMs = at - startedAt;
+    const ownMs = Math.max(0, totalMs - belowMs);
+    if (outcome === 'completed') this.expected.observe(totalMs, at);
+    this.limit.observe({ at, totalMs, ownMs, inFlight: this.inFlight, outcome });
+    this.inFlight -= 1;
+    this.stepLevel();
+    this.admitWaiting();
+  }
+
+  private admitWaiting(): void {
+    while (this.inFlight < this.limit.current()) {
+      const call = this.room.takeNext();
+      if (!call) return;
+      if (this.isTooLate(call.deadlineAt)) this.refuse(call, ResultCode.notRunDeadline);
+      else call.settle(Ok(this.grant(call.enteredAt)));
+    }
+  }
+
+  /** Catches up with the steps of the level that have come due. */
+  private stepLevel(): void {
+    const due = Math.floor((this.clock.now() - this.steppedAt) / LEVEL_STEP_MS);
+    if (due <= 0) return;
+    this.steppedAt += due * LEVEL_STEP_MS;
+    for (let step = 0; step < Math.min(due, MAX_STEPS_BEHIND); step++) {
+      this.level.step({
+        waitingShare: this.peakWaiting / this.roomCapacity(),
+        refusals: this.refusals,
+      });
+      this.refusals = 0;
+      this.peakWaiting = this.room.size;
+    }
+  }
+}
+
+/** Makes the admission of one target. */
+export function createAdmission(parts: AdmissionParts): Admission {
+  return new TargetAdmission(parts);
+}
--- /dev/null
+++ b/packages/core/src/unlimitedLimit.ts
@@ -0,0 +1,12 @@
+import { ConcurrencyLimit } from './concurrencyLimit.js';
+
+/** No limit: every call goes straight to the target. */
+export class UnlimitedLimit extends ConcurrencyLimit {
+  // eslint-disable-next-line class-methods-use-this
+  override current(): number {
+    return Infinity;
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  override observe(): void {}
+}
