--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,3 +88,21 @@
   parseDeadlineMs,
   remainingForHopMs,
 } from './deadline.js';
+export { decodeBase64, encodeBase64, prefixEnd } from './etcdMessages.js';
+export type {
+  EtcdCompare,
+  EtcdEvent,
+  EtcdHeader,
+  EtcdKeyValue,
+  EtcdLeaseGrantRequest,
+  EtcdLeaseKeepAliveRequest,
+  EtcdLeaseResponse,
+  EtcdOperation,
+  EtcdRangeRequest,
+  EtcdRangeResponse,
+  EtcdStreamed,
+  EtcdTransactionRequest,
+  EtcdTransactionResponse,
+  EtcdWatchRequest,
+  EtcdWatchResponse,
+} from './etcdMessages.js';
