--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -110,3 +110,21 @@
 export type { TargetReport } from './targetHints.js';
 export { UnlimitedLimit } from './unlimitedLimit.js';
 export { VegasLimit } from './vegasLimit.js';
+export { decodeBase64, encodeBase64, prefixEnd } from './etcdMessages.js';
+export type {
+  EtcdCompare,
+  EtcdEvent,
+  EtcdHeader,
+  EtcdKeyValue,
+  EtcdLeaseGrantRequest,
+  EtcdLeaseKeepAliveRequest,
+  EtcdLeaseResponse,
+  EtcdOperation,
+  EtcdRangeRequest,
+  EtcdRangeResponse,
+  EtcdStreamed,
+  EtcdTransactionRequest,
+  EtcdTransactionResponse,
+  EtcdWatchRequest,
+  EtcdWatchResponse,
+} from './etcdMessages.js';
