--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -124,13 +124,17 @@
       return failed(ResultCode.notRunShed, message);
     }
     const allowance = new AttemptAllowance(grant.tokens, policy.children.length);
+    parent.below.begin();
     const until = context.deadlineAt - HOP_COST_MS;
     return Ok({
       policy,
       context: { ...context, key, deadlineAt: deadlineAt(clock.now(), policy.deadlineMs, until) },
       allowance,
       signal: parent.signal,
-      settle: () => grant.settle(allowance.close()),
+      settle: () => {
+        parent.below.end();
+        grant.settle(allowance.close());
+      },
     });
   }
 
--- a/packages/core/src/embeddedCaller.ts
+++ b/packages/core/src/embeddedCaller.ts
@@ -1,6 +1,7 @@
 import { v7 as uuidv7 } from 'uuid';
 import type { CallAnswer, CallHeaders, CallTransport } from './call.js';
 import { CallHeader } from './callHeaders.js';
+import { createCallerShedding } from './callerShedding.js';
 import { createCallOrigins } from './callOrigin.js';
 import type { Clock } from './clock.js';
 import { createDirectoryClient } from './directoryClient.js';
@@ -81,7 +82,9 @@
     random,
     transport,
     router: createTargetRouter({
-      chooser: createTargetChooser({ dataCentre: options.dataCentre, directory, random }),
+      directory,
+      chooser: createTargetChooser({ dataCentre: options.dataCentre, random }),
+      shedding: createCallerShedding(clock, random),
     }),
     retryBudget: new RetryBudget(clock),
     histograms,
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -17,6 +17,7 @@
 import { ResultCode } from './resultCode.js';
 import type { RunningCalls } from './runningCalls.js';
 import type { TargetRegistry } from './targetRegistry.js';
+import { TimeBelow } from './timeBelow.js';
 
 /** Statuses with which a target says that it has too much to do. */
 const overloadStatuses = new Set([429, 503]);
@@ -122,7 +123,8 @@
   async function runAtTarget(call: GuardedCall, permit: Permit, notAfter: number) {
     const { policy, context, allowance, signal } = call;
     const id = uuidv7();
-    runningCalls.begin({ id, policy, context, allowance, signal, children: new Map() });
+    const below = new TimeBelow(clock);
+    runningCalls.begin({ id, policy, context, allowance, signal, below, children: new Map() });
     options.histograms.record({
       importance: context.importance,
       caller: context.caller,
@@ -131,7 +133,7 @@
     });
     const result = await sendToTarget(call, id, notAfter);
     runningCalls.end(id);
-    permit.release(outcomeOf(result, signal));
+    permit.release(outcomeOf(result, signal), below.elapsedMs());
     return result;
   }
 
--- a/packages/core/src/runningCalls.ts
+++ b/packages/core/src/runningCalls.ts
@@ -1,6 +1,7 @@
 import type { AttemptAllowance } from './attemptAllowance.js';
 import type { CallContext } from './callContext.js';
 import type { CallPolicy } from './configuration.js';
+import type { TimeBelow } from './timeBelow.js';
 
 /** A call that the target beside this daemon works on. */
 export interface RunningCall {
@@ -11,6 +12,8 @@
   allowance: AttemptAllowance;
   /** Aborted when the answer is no longer wanted; its children are aborted with it. */
   signal: AbortSignal;
+  /** Time that the target waits for calls which it made. */
+  below: TimeBelow;
   /** Children started so far, by name of the call. */
   children: Map<string, number>;
 }
--- a/packages/core/src/targetChooser.ts
+++ b/packages/core/src/targetChooser.ts
@@ -1,4 +1,4 @@
-import type { Directory, Member } from './member.js';
+import type { Member } from './member.js';
 import type { RandomSource } from './random.js';
 
 /** How many calls in flight a target elsewhere must be ahead by before it is preferred. */
@@ -6,8 +6,8 @@
 
 /** Chooses targets by the number of calls that this process has in flight at them. */
 export interface TargetChooser {
-  /** A target of `service` that is not among `tried` if there is one, else any. */
-  choose(service: string, tried: ReadonlySet<string>): Member | undefined;
+  /** A target among `targets` that is not among `tried` if there is one, else any. */
+  choose(targets: Member[], tried: ReadonlySet<string>): Member | undefined;
   begin(member: Member): void;
   end(member: Member): void;
 }
@@ -15,7 +15,6 @@
 /** What a chooser needs. */
 export interface TargetChooserOptions {
   dataCentre: string;
-  directory: Directory;
   random: RandomSource;
 }
 
@@ -33,8 +32,7 @@
   }
 
   return {
-    choose: (service, tried) => {
-      const targets = options.directory.targetsOf(service);
+    choose: (targets, tried) => {
       const untried = targets.filter((member) => !tried.has(member.incarnation));
       const candidates = untried.length > 0 ? untried : targets;
       const first = pick(candidates);
--- a/packages/core/src/targetRegistry.ts
+++ b/packages/core/src/targetRegistry.ts
@@ -32,6 +32,8 @@
   /** The last announcement, while it has not lapsed. */
   current(): Announcement | undefined;
   state(): TargetState;
+  /** Calls `listener` after each change of state or of the announcement. */
+  onChange(listener: () => void): void;
   /** Starts draining: no new work from now on. */
   drain(): void;
   /** Forgets the target. */
@@ -41,8 +43,6 @@
 /** What a registry needs. */
 export interface TargetRegistryOptions {
   clock: Clock;
-  /** Called after each change of state or of the announcement. */
-  onChange: () => void;
 }
 
 /** Makes the registry of the one target beside a daemon. */
@@ -50,10 +50,15 @@
   let lifecycle = createTargetLifecycle();
   let announcement: Announcement | undefined;
   let lapse: Timer | undefined;
+  const listeners: (() => void)[] = [];
+
+  function notify(): void {
+    listeners.forEach((listener) => listener());
+  }
 
   function lose(): void {
     announcement = undefined;
-    if (lifecycle.send('lost')) options.onChange();
+    if (lifecycle.send('lost')) notify();
   }
 
   function accept(next: Announcement): void {
@@ -64,7 +69,7 @@
     const stateChanged = lifecycle.send(next.state === 'draining' ? 'drain' : 'ready');
     lapse?.cancel();
     lapse = options.clock.startTimer(ANNOUNCEMENT_LAPSE_MS, lose);
-    if (changed || stateChanged) options.onChange();
+    if (changed || stateChanged) notify();
   }
 
   return {
@@ -84,8 +89,11 @@
     },
     current: () => announcement,
     state: () => lifecycle.state(),
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
     drain: () => {
-      if (lifecycle.send('drain')) options.onChange();
+      if (lifecycle.send('drain')) notify();
     },
     stop: () => lapse?.cancel(),
   };
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -1,7 +1,9 @@
 import {
   ControlMethod,
   RetryBudget,
+  createAdmission,
   createCallOrigins,
+  createCallerShedding,
   createGateway,
   createGuard,
   createHistograms,
@@ -12,6 +14,7 @@
   serveDirectoryViews,
 } from '@shallotcroft/core';
 import type {
+  AdmissionSettings,
   CallTransport,
   Clock,
   Configuration,
@@ -27,7 +30,6 @@
   RunningCalls,
   TargetRegistry,
 } from '@shallotcroft/core';
-import { createOpenAdmission } from './provisionalAdmission.js';
 import { ProvisionalMembership } from './provisionalMembership.js';
 import type { Settings } from './settings.js';
 
@@ -70,6 +72,9 @@
   };
 }
 
+/** In force until a configuration is known; without one no call is let in. */
+const initialAdmission: AdmissionSettings = { limit: 'adaptive', slots: 1, objective: 'goodput' };
+
 /** Makes the parts of a daemon; nothing runs until they are started. */
 export function createDaemonParts(options: DaemonPartsOptions): DaemonParts {
   const { settings, clock, random, transport, incarnation, methods } = options;
@@ -77,17 +82,22 @@
   let configurationInForce: Configuration | undefined;
   const configuration = (): Configuration | undefined => configurationInForce;
   const membership = new ProvisionalMembership(self, { ...options, bootstrap: settings.bootstrap });
-  const admission = createOpenAdmission();
+  const admission = createAdmission({ clock, settings: initialAdmission });
   const histograms = createHistograms();
   const runningCalls = createRunningCalls();
-  const registry: TargetRegistry = createTargetRegistry({
-    clock,
-    onChange: () => {
-      membership.update({
-        service: registry.current()?.service ?? '',
-        state: registry.state(),
-      });
-    },
+  const registry = createTargetRegistry({ clock });
+
+  function reconfigureAdmission(): void {
+    const service = registry.current()?.service ?? '';
+    const policy = configurationInForce?.services[service];
+    if (!policy || !configurationInForce) return;
+    const { limit, slots } = policy;
+    admission.reconfigure({ limit, slots, objective: configurationInForce.objective });
+  }
+
+  registry.onChange(() => {
+    reconfigureAdmission();
+    membership.update({ service: registry.current()?.service ?? '', state: registry.state() });
   });
   const guard = createGuard({
     clock,
@@ -102,14 +112,17 @@
   });
   const chooser = createTargetChooser({
     dataCentre: settings.dataCentre,
-    directory: membership,
     random,
   });
   const gateway = createGateway({
     clock,
     random,
     transport,
-    router: createTargetRouter({ chooser }),
+    router: createTargetRouter({
+      directory: membership,
+      chooser,
+      shedding: createCallerShedding(clock, random),
+    }),
     retryBudget: new RetryBudget(clock),
     histograms,
     incarnation,
@@ -130,6 +143,7 @@
 
   methods.register('configuration.push', async (params) => {
     configurationInForce = params as Configuration;
+    reconfigureAdmission();
     return configurationInForce.revision;
   });
   serveDirectoryViews(methods, membership, configuration);
