feat(core): membership by anti-entropy, with probes, tombstones and incarnations

Cause: daemons have to find each other without a list of targets and without a heartbeat to everyone. One exchange a second with a random member carries rumours, serves as the probe and compares a hash of the tables; only buckets that differ are sent. Silence is looked into on new connections and through three others, twice, before a member is taken for gone; its owner overrules that by a higher version. An incarnation that left or was replaced is gone at the final version, which nothing overrules.

ManualClock.sleep left its abort listener behind after each sleep; it is removed now.

--- /dev/null
+++ b/packages/core/src/antiEntropy.ts
@@ -0,0 +1,171 @@
+import type { MemberNews } from './memberNews.js';
+import { BUCKET_COUNT, bucketOf } from './memberTable.js';
+import type { VersionEntry } from './memberTable.js';
+import { MembershipMethod } from './membershipContext.js';
+import type { MembershipContext } from './membershipContext.js';
+import type { PeerAddress } from './peer.js';
+
+/** How long an answer with a part of a table may take, in milliseconds. */
+const TABLE_TIMEOUT_MS = 3000;
+
+/** Most buckets that are mended in one comparison. */
+const MAX_BUCKETS_PER_COMPARISON = 4;
+
+/** Most records in one page of a whole table. */
+const MAX_RECORDS_PER_PAGE = 500;
+
+/** Hashes of all buckets of a table, as base64 of 32-bit numbers. */
+interface CompareRequest {
+  hashes: string;
+}
+
+interface CompareAnswer {
+  /** Buckets that differ, as many as one comparison mends. */
+  buckets: number[];
+  entries: VersionEntry[];
+}
+
+interface SyncRequest {
+  news: MemberNews[];
+  /** Incarnations whose record is asked for. */
+  wanted: string[];
+}
+
+interface SyncAnswer {
+  news: MemberNews[];
+}
+
+interface PullRequest {
+  firstBucket: number;
+}
+
+interface PullAnswer {
+  news: MemberNews[];
+  /** Bucket to go on with; undefined at the end of the table. */
+  nextBucket?: number;
+}
+
+/** Makes two tables equal by sending only what differs. */
+export interface AntiEntropy {
+  /** Mends up to a few buckets that differ between this table and that of the daemon at `peer`. */
+  compare(peer: PeerAddress): Promise<void>;
+  /** Takes over the whole table of the daemon at `peer`, page by page; false when it was cut short. */
+  pull(peer: PeerAddress): Promise<boolean>;
+}
+
+function encodeHashes(hashes: Uint32Array): string {
+  return Buffer.from(hashes.buffer, hashes.byteOffset, hashes.byteLength).toString('base64');
+}
+
+function decodeHashes(text: string): Uint32Array {
+  const bytes = Uint8Array.from(Buffer.from(text, 'base64'));
+  return new Uint32Array(bytes.buffer, 0, Math.floor(bytes.byteLength / 4));
+}
+
+/** Makes anti-entropy and registers its methods. */
+export function createAntiEntropy(context: MembershipContext): AntiEntropy {
+  const { clock, peers, methods, table } = context;
+
+  function newsOfAll(incarnations: string[]): MemberNews[] {
+    const found = incarnations.map((incarnation) => table.newsOf(incarnation, clock.now()));
+    return found.filter((news) => news !== undefined);
+  }
+
+  function differingBuckets(hashes: Uint32Array): number[] {
+    const own = table.bucketHashes();
+    const differing: number[] = [];
+    const start = Math.floor(context.random.next() * BUCKET_COUNT);
+    for (let step = 0; step < BUCKET_COUNT; step++) {
+      const bucket = (start + step) % BUCKET_COUNT;
+      if (own[bucket] !== hashes[bucket]) differing.push(bucket);
+      if (differing.length === MAX_BUCKETS_PER_COMPARISON) break;
+    }
+    return differing;
+  }
+
+  function pageFrom(firstBucket: number): PullAnswer {
+    const incarnations: string[][] = Array.from({ length: BUCKET_COUNT }, () => []);
+    table.liveMembers().forEach(({ incarnation }) => {
+      incarnations[bucketOf(incarnation)]?.push(incarnation);
+    });
+    const page: string[] = [];
+    let bucket = firstBucket;
+    while (bucket < BUCKET_COUNT && page.length < MAX_RECORDS_PER_PAGE) {
+      page.push(...(incarnations[bucket] ?? []));
+      bucket += 1;
+    }
+    const news = newsOfAll(page);
+    return bucket < BUCKET_COUNT ? { news, nextBucket: bucket } : { news };
+  }
+
+  methods.register(MembershipMethod.compare, async (params): Promise<CompareAnswer> => {
+    const buckets = differingBuckets(decodeHashes((params as CompareRequest).hashes));
+    return { buckets, entries: table.versionsIn(new Set(buckets)) };
+  });
+
+  methods.register(MembershipMethod.sync, async (params): Promise<SyncAnswer> => {
+    const { news, wanted } = params as SyncRequest;
+    const better = context.receive(news);
+    return { news: [...newsOfAll(wanted), ...better] };
+  });
+
+  methods.register(MembershipMethod.pull, async (params): Promise<PullAnswer> =>
+    pageFrom((params as PullRequest).firstBucket),
+  );
+
+  /** What to send and to ask for, given the versions that the other end holds. */
+  function planSync({ buckets, entries }: CompareAnswer): SyncRequest {
+    const theirs = new Map(entries.map(({ incarnation, version }) => [incarnation, version]));
+    const wanted: string[] = [];
+    const better: string[] = [];
+    theirs.forEach((version, incarnation) => {
+      const tombstone = table.tombstoneOf(incarnation);
+      const own = tombstone?.version ?? table.liveOf(incarnation)?.version ?? -1;
+      if (own < version) wanted.push(incarnation);
+      if (tombstone ? own >= version : own > version) better.push(incarnation);
+    });
+    table.versionsIn(new Set(buckets)).forEach(({ incarnation }) => {
+      if (!theirs.has(incarnation)) better.push(incarnation);
+    });
+    return { news: newsOfAll(better), wanted };
+  }
+
+  return {
+    compare: async (peer) => {
+      const request: CompareRequest = { hashes: encodeHashes(table.bucketHashes()) };
+      const compared = await peers.call<CompareAnswer>(
+        peer,
+        MembershipMethod.compare,
+        request,
+        TABLE_TIMEOUT_MS,
+      );
+      if (!compared.isOk() || context.stopped.aborted) return;
+      const plan = planSync(compared.value);
+      if (plan.news.length === 0 && plan.wanted.length === 0) return;
+      const synced = await peers.call<SyncAnswer>(
+        peer,
+        MembershipMethod.sync,
+        plan,
+        TABLE_TIMEOUT_MS,
+      );
+      if (synced.isOk() && !context.stopped.aborted) context.receive(synced.value.news);
+    },
+
+    pull: async (peer) => {
+      let bucket: number | undefined = 0;
+      while (bucket !== undefined) {
+        const request: PullRequest = { firstBucket: bucket };
+        const page = await peers.call<PullAnswer>(
+          peer,
+          MembershipMethod.pull,
+          request,
+          TABLE_TIMEOUT_MS,
+        );
+        if (!page.isOk() || context.stopped.aborted) return false;
+        context.fill(page.value.news);
+        bucket = page.value.nextBucket;
+      }
+      return true;
+    },
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,3 +88,10 @@
   parseDeadlineMs,
   remainingForHopMs,
 } from './deadline.js';
+export { createMembership } from './membership.js';
+export type { Membership, MembershipOptions } from './membership.js';
+export type { MemberChange } from './memberRecords.js';
+export type { Carried } from './membershipContext.js';
+export { MemoryNetwork } from './memoryNetwork.js';
+export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
+export { rendezvous, rendezvousScore } from './hash.js';
--- a/packages/core/src/manualClock.ts
+++ b/packages/core/src/manualClock.ts
@@ -38,11 +38,14 @@
   async sleep(ms: number, signal?: AbortSignal): Promise<void> {
     signal?.throwIfAborted();
     let timer: Timer | undefined;
+    let wake: () => void = () => undefined;
     await new Promise<void>((resolve) => {
-      timer = this.startTimer(ms, resolve);
-      signal?.addEventListener('abort', () => resolve(), { once: true });
+      wake = () => resolve();
+      timer = this.startTimer(ms, wake);
+      signal?.addEventListener('abort', wake);
     });
     timer?.cancel();
+    signal?.removeEventListener('abort', wake);
     signal?.throwIfAborted();
   }
 
--- /dev/null
+++ b/packages/core/src/memberTable.ts
@@ -0,0 +1,229 @@
+import { hashText } from './hash.js';
+import type { Member } from './member.js';
+import { FINAL_VERSION } from './memberNews.js';
+import type { GoneNews, MemberNews } from './memberNews.js';
+import type { RandomSource } from './random.js';
+
+/** Number of buckets that a table is compared by. */
+export const BUCKET_COUNT = 256;
+
+/**
+ * How long it is remembered that an incarnation is gone, in milliseconds. It has to be longer than
+ * any news can be under way, and than a daemon may be paused without dropping its table.
+ */
+export const TOMBSTONE_RETENTION_MS = 6 * 60 * 60 * 1000;
+
+/** What remains of an incarnation that is gone. */
+export interface Tombstone {
+  incarnation: string;
+  version: number;
+  /** When it was found gone, on the monotonic clock, in milliseconds. */
+  goneAt: number;
+  /** Its last record, if it was ever known here. */
+  member: Member | undefined;
+}
+
+/** How news compares to what the table holds. */
+export type NewsVerdict = 'accepted' | 'known' | 'older';
+
+/** An incarnation and the version that a table holds of it. */
+export interface VersionEntry {
+  incarnation: string;
+  version: number;
+}
+
+/** Bucket that an incarnation belongs to. */
+export function bucketOf(incarnation: string): number {
+  return hashText(incarnation) % BUCKET_COUNT;
+}
+
+function isTarget(member: Member): boolean {
+  return member.service !== '' && member.state === 'serving';
+}
+
+/** All that one daemon knows about the incarnations of the fleet. */
+export class MemberTable {
+  private readonly live: Member[] = [];
+
+  private readonly positions = new Map<string, number>();
+
+  private readonly tombstones = new Map<string, Tombstone>();
+
+  private readonly targets = new Map<string, Map<string, Member>>();
+
+  private readonly buckets = new Uint32Array(BUCKET_COUNT);
+
+  private changeCount = 0;
+
+  /** Counts up with every change. */
+  get changes(): number {
+    return this.changeCount;
+  }
+
+  /** Takes news in if it is newer than what the table holds. */
+  apply(news: MemberNews, now: number): NewsVerdict {
+    const verdict =
+      news.kind === 'alive' ? this.applyAlive(news.member) : this.applyGone(news, now);
+    if (verdict === 'accepted') this.changeCount += 1;
+    return verdict;
+  }
+
+  /** The live record of an incarnation. */
+  liveOf(incarnation: string): Member | undefined {
+    const position = this.positions.get(incarnation);
+    return position === undefined ? undefined : this.live[position];
+  }
+
+  /** The tombstone of an incarnation. */
+  tombstoneOf(incarnation: string): Tombstone | undefined {
+    return this.tombstones.get(incarnation);
+  }
+
+  /** Number of live records. */
+  get size(): number {
+    return this.live.length;
+  }
+
+  /** Live records, in no special order. */
+  liveMembers(): readonly Member[] {
+    return this.live;
+  }
+
+  /** Tombstones that are still kept. */
+  goneMembers(): Tombstone[] {
+    return [...this.tombstones.values()];
+  }
+
+  /** Members with a serving target of `service`. */
+  targetsOf(service: string): Member[] {
+    return [...(this.targets.get(service)?.values() ?? [])];
+  }
+
+  /** Up to `count` different live members that pass `accept`, at random. */
+  sample(random: RandomSource, count: number, accept: (member: Member) => boolean): Member[] {
+    const chosen = new Set<Member>();
+    const tries = count * 8 + 8;
+    for (let attempt = 0; attempt < tries && chosen.size < count; attempt++) {
+      const member = this.live[Math.floor(random.next() * this.live.length)];
+      if (member && accept(member)) chosen.add(member);
+    }
+    return [...chosen];
+  }
+
+  /** What the table holds about an incarnation, as news. */
+  newsOf(incarnation: string, now: number): MemberNews | undefined {
+    const member = this.liveOf(incarnation);
+    if (member) return { kind: 'alive', member };
+    const tombstone = this.tombstones.get(incarnation);
+    if (!tombstone) return undefined;
+    const { version, goneAt } = tombstone;
+    return { kind: 'gone', incarnation, version, ageMs: now - goneAt };
+  }
+
+  /** Hash of all live records; equal tables have equal hashes. */
+  rootHash(): number {
+    let root = 0;
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+      root = Math.imul(root, 31) + (this.buckets[bucket] as number);
+    }
+    return root >>> 0;
+  }
+
+  /** Hash of the live records of each bucket. */
+  bucketHashes(): Uint32Array {
+    return this.buckets.slice();
+  }
+
+  /** Versions of the live records in the given buckets. */
+  versionsIn(buckets: ReadonlySet<number>): VersionEntry[] {
+    return this.live
+      .filter((member) => buckets.has(bucketOf(member.incarnation)))
+      .map(({ incarnation, version }) => ({ incarnation, version }));
+  }
+
+  /** Forgets tombstones that are past their retention. */
+  dropOldTombstones(now: number): void {
+    this.tombstones.forEach((tombstone, incarnation) => {
+      if (now - tombstone.goneAt > TOMBSTONE_RETENTION_MS) this.tombstones.delete(incarnation);
+    });
+  }
+
+  /** Forgets every live record but that of `kept`; tombstones stay. */
+  clearExcept(kept: string): void {
+    [...this.live].forEach((member) => {
+      if (member.incarnation !== kept) this.removeLive(member);
+    });
+  }
+
+  private applyAlive(member: Member): NewsVerdict {
+    const tombstone = this.tombstones.get(member.incarnation);
+    if (tombstone && member.version <= tombstone.version) return 'older';
+    const current = this.liveOf(member.incarnation);
+    if (current && member.version === current.version) return 'known';
+    if (current && member.version < current.version) return 'older';
+    this.tombstones.delete(member.incarnation);
+    if (current) this.removeLive(current);
+    this.addLive(member);
+    return 'accepted';
+  }
+
+  private applyGone(news: GoneNews, now: number): NewsVerdict {
+    const current = this.liveOf(news.incarnation);
+    if (current && news.version < current.version) return 'older';
+    const tombstone = this.tombstones.get(news.incarnation);
+    if (tombstone && news.version === tombstone.version) return 'known';
+    if (tombstone && news.version < tombstone.version) return 'older';
+    if (!current && news.ageMs > TOMBSTONE_RETENTION_MS) return 'known';
+    if (current) this.removeLive(current);
+    const last = current ?? tombstone?.member;
+    this.tombstones.set(news.incarnation, {
+      incarnation: news.incarnation,
+      version: news.version,
+      goneAt: now - news.ageMs,
+      member: last && { ...last, state: 'gone' },
+    });
+    return 'accepted';
+  }
+
+  private addLive(member: Member): void {
+    this.positions.set(member.incarnation, this.live.length);
+    this.live.push(member);
+    this.toggleHash(member);
+    if (isTarget(member)) this.addTarget(member);
+  }
+
+  private removeLive(member: Member): void {
+    const position = this.positions.get(member.incarnation) as number;
+    const last = this.live.pop() as Member;
+    this.positions.delete(member.incarnation);
+    if (last !== member) {
+      this.live[position] = last;
+      this.positions.set(last.incarnation, position);
+    }
+    this.toggleHash(member);
+    this.removeTarget(member);
+  }
+
+  private addTarget(member: Member): void {
+    const targets = this.targets.get(member.service) ?? new Map<string, Member>();
+    targets.set(member.incarnation, member);
+    this.targets.set(member.service, targets);
+  }
+
+  private removeTarget(member: Member): void {
+    const targets = this.targets.get(member.service);
+    targets?.delete(member.incarnation);
+    if (targets?.size === 0) this.targets.delete(member.service);
+  }
+
+  private toggleHash({ incarnation, version }: Member): void {
+    const bucket = bucketOf(incarnation);
+    const hash = hashText(`${incarnation}:${version}`);
+    this.buckets[bucket] = (this.buckets[bucket] as number) ^ hash;
+  }
+}
+
+/** True when the incarnation can never come back. */
+export function isFinal(tombstone: Tombstone): boolean {
+  return tombstone.version === FINAL_VERSION;
+}
--- /dev/null
+++ b/packages/core/src/membershipContext.ts
@@ -0,0 +1,53 @@
+import type { Clock } from './clock.js';
+import type { Logger } from './logger.js';
+import type { Member } from './member.js';
+import type { MemberNews } from './memberNews.js';
+import type { MemberTable } from './memberTable.js';
+import type { PeerAddress, PeerCaller, PeerMethods } from './peer.js';
+import type { RandomSource } from './random.js';
+import type { RumourQueue } from './rumourQueue.js';
+
+/** Names of the control methods of membership. */
+export const MembershipMethod = {
+  exchange: 'membership.exchange',
+  ping: 'membership.ping',
+  probe: 'membership.probe',
+  compare: 'membership.compare',
+  sync: 'membership.sync',
+  pull: 'membership.pull',
+} as const;
+
+/** A small value of another part that rides on every exchange. */
+export interface Carried {
+  name: string;
+  /** The value of this daemon. */
+  value(): number;
+  /** Called with the value of the daemon at `from`. */
+  received(from: PeerAddress, value: number): void;
+}
+
+/** What the parts of membership share. */
+export interface MembershipContext {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly peers: PeerCaller;
+  readonly methods: PeerMethods;
+  readonly logger: Logger;
+  readonly table: MemberTable;
+  readonly queue: RumourQueue;
+  /** Aborted when membership stops. */
+  readonly stopped: AbortSignal;
+  /** Record of this daemon. */
+  self(): Member;
+  /** Takes news in and passes on what is new; returns what this daemon knows better. */
+  receive(news: MemberNews[]): MemberNews[];
+  /** Takes news in that everyone else has already; it is not passed on. */
+  fill(news: MemberNews[]): MemberNews[];
+  /** Other live members at random. */
+  others(count: number, accept?: (member: Member) => boolean): Member[];
+}
+
+/** Where a member listens for control messages. */
+export function peerAddressOf(member: Member): PeerAddress {
+  return { address: member.address, port: member.peerPort };
+}
