--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -84,7 +84,7 @@
   await supervisor.start({
     name: 'membership',
     start: () => parts.membership.start(),
-    stop: () => parts.membership.stop(),
+    stop: () => parts.membership.leave(),
   });
   await supervisor.start({
     name: 'target',
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -7,6 +7,7 @@
   createGateway,
   createGuard,
   createHistograms,
+  createMembership,
   createRunningCalls,
   createTargetChooser,
   createTargetRegistry,
@@ -24,13 +25,13 @@
   Histograms,
   Logger,
   Member,
+  Membership,
   PeerCaller,
   PeerMethods,
   RandomSource,
   RunningCalls,
   TargetRegistry,
 } from '@shallotcroft/core';
-import { ProvisionalMembership } from './provisionalMembership.js';
 import type { Settings } from './settings.js';
 
 /** What the parts of a daemon are made from. */
@@ -53,7 +54,7 @@
   registry: TargetRegistry;
   runningCalls: RunningCalls;
   histograms: Histograms;
-  membership: ProvisionalMembership;
+  membership: Membership;
   status(): DaemonStatus;
 }
 
@@ -81,7 +82,11 @@
   const self = memberOfSettings(settings, incarnation);
   let configurationInForce: Configuration | undefined;
   const configuration = (): Configuration | undefined => configurationInForce;
-  const membership = new ProvisionalMembership(self, { ...options, bootstrap: settings.bootstrap });
+  const membership = createMembership({
+    ...options,
+    self,
+    bootstrap: async () => settings.bootstrap,
+  });
   const admission = createAdmission({ clock, settings: initialAdmission });
   const histograms = createHistograms();
   const runningCalls = createRunningCalls();
@@ -97,7 +102,8 @@
 
   registry.onChange(() => {
     reconfigureAdmission();
-    membership.update({ service: registry.current()?.service ?? '', state: registry.state() });
+    const service = registry.current()?.service ?? '';
+    membership.update({ service, state: registry.state() }).catch(() => undefined);
   });
   const guard = createGuard({
     clock,
@@ -134,7 +140,7 @@
     }),
   });
   const status = (): DaemonStatus => ({
-    self: membership.memberOf(incarnation) ?? self,
+    self: membership.self(),
     revision: configurationInForce?.revision ?? 0,
     storeReachable: undefined,
     load: admission.load(),
