--- a/packages/core/src/memberRecords.ts
+++ b/packages/core/src/memberRecords.ts
@@ -24,6 +24,8 @@
 
 /** The table of one daemon, its own record in it, and the news that it passes on. */
 export class MemberRecords {
+  private ended = false;
+
   readonly table = new MemberTable();
 
   readonly queue = new RumourQueue();
@@ -100,11 +102,18 @@
     return undefined;
   }
 
+  /** From now on it is no surprise to hear that this daemon is gone. */
+  end(): void {
+    this.ended = true;
+  }
+
   /** News about this daemon: what is wrong is overruled by a record with a higher version. */
   private hearAboutSelf(news: MemberNews): void {
     const version = versionOf(news);
     const { incarnation } = this.own;
     if (news.kind === 'gone' && version === FINAL_VERSION) {
+      if (this.ended) return;
+      this.ended = true;
       const message = 'another incarnation has this address; restart this daemon';
       this.options.logger.log('error', message, { incarnation });
       this.options.onDisplaced?.();
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -214,6 +214,7 @@
     others,
     leave: async () => {
       const { incarnation } = records.self;
+      records.end();
       await tellAtOnce({ kind: 'gone', incarnation, version: FINAL_VERSION, ageMs: 0 });
       stop();
     },
--- /dev/null
+++ b/scripts/src/measureLatency.ts
@@ -0,0 +1,208 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { Agent, request } from 'undici';
+import {
+  RpcPeerCaller,
+  ProvisionalTransport,
+  createEmbeddedCaller,
+  silentLogger,
+  systemClock,
+  systemRandom,
+} from '@shallotcroft/core';
+import type { Configuration, EmbeddedCaller } from '@shallotcroft/core';
+import { startDeployment, startPassThrough } from '@shallotcroft/playground';
+import { numberFlag } from './flags.js';
+
+/**
+ * Added latency over direct calls, paired within one run: each round sends one call each way,
+ * in an order that changes, so that noise of the machine falls on all ways alike.
+ */
+
+const LOOPBACK = '127.0.0.1';
+const MICROSECONDS_PER_MS = 1000;
+const BODY = Buffer.from(JSON.stringify({ circle: 'Oatlands', copies: 12 }));
+const WARM_UP_ROUNDS = 500;
+
+type Way = 'direct' | 'passThrough' | 'embedded' | 'twoHops';
+
+const ways: Way[] = ['direct', 'passThrough', 'embedded', 'twoHops'];
+
+const configuration: Configuration = {
+  revision: 1,
+  changeId: 'measure-latency',
+  objective: 'goodput',
+  services: {
+    caller: { name: 'caller', slots: 100, connections: 100, limit: 'fixed', shards: 1 },
+    catalogue: { name: 'catalogue', slots: 100, connections: 100, limit: 'fixed', shards: 1 },
+  },
+  calls: {
+    'catalogue.search': {
+      name: 'catalogue.search',
+      service: 'catalogue',
+      importance: 'normal',
+      execution: 'repeatable',
+      deadlineMs: 2000,
+      attemptTokens: 1,
+      maxAnswerBytes: 100_000,
+      maxBodyBytes: 100_000,
+      children: [],
+    },
+  },
+};
+
+const rounds = numberFlag('rounds', 4000);
+const perSecond = numberFlag('rate', 250);
+
+function createHistogram(): Histogram {
+  return build({ numberOfSignificantValueDigits: 3, highestTrackableValue: 60_000_000 });
+}
+
+const deployment = await startDeployment({
+  configuration,
+  dataCentres: ['local'],
+  targetsPerService: 1,
+  workMs: 0,
+  logLevel: 'error',
+});
+const [entry] = deployment.hostsOf('caller');
+const [host] = deployment.hostsOf('catalogue');
+if (!entry || !host) throw new Error('the deployment did not start');
+const peers = new RpcPeerCaller();
+for (const each of deployment.hosts) {
+  const pushed = await peers.call(each.peer, 'configuration.push', configuration, 1000);
+  if (pushed.isErr()) throw new Error(pushed.error.message);
+}
+const targetPort = (host.target.ready as { listening: number }).listening;
+const passThrough = await startPassThrough({ address: LOOPBACK, port: targetPort });
+const passThroughPort = (passThrough.ready as { listening: number }).listening;
+const agent = new Agent({ connections: 64, pipelining: 1 });
+const caller: EmbeddedCaller = createEmbeddedCaller({
+  name: 'measure',
+  dataCentre: 'local',
+  bootstrap: [entry.peer],
+  services: ['catalogue'],
+  clock: systemClock,
+  random: systemRandom,
+  logger: silentLogger,
+  transport: new ProvisionalTransport(),
+  peers,
+});
+await systemClock.sleep(2000);
+await caller.start();
+
+async function post(port: number, path: string): Promise<void> {
+  const answer = await request(`http://${LOOPBACK}:${port}${path}`, {
+    method: 'POST',
+    body: BODY,
+    dispatcher: agent,
+  });
+  await answer.body.arrayBuffer();
+  if (answer.statusCode !== 200) throw new Error(`${path} answered ${answer.statusCode}`);
+}
+
+const calls: Record<Way, () => Promise<void>> = {
+  direct: () => post(targetPort, '/catalogue/search'),
+  passThrough: () => post(passThroughPort, '/catalogue/search'),
+  embedded: async () => {
+    const answer = await caller.call('catalogue.search', BODY);
+    if (answer.status !== 200) throw new Error(`embedded call: ${answer.body.toString()}`);
+  },
+  twoHops: () => post(entry.callPort, '/call/catalogue/search'),
+};
+
+const histograms = new Map(ways.map((way) => [way, createHistogram()]));
+const differences = new Map(ways.map((way) => [way, createHistogram()]));
+
+async function timeOf(way: Way): Promise<number> {
+  const startedAt = performance.now();
+  await calls[way]();
+  return (performance.now() - startedAt) * MICROSECONDS_PER_MS;
+}
+
+async function runRound(index: number, recorded: boolean): Promise<void> {
+  const times = new Map<Way, number>();
+  for (let step = 0; step < ways.length; step++) {
+    const way = ways[(index + step) % ways.length] as Way;
+    times.set(way, await timeOf(way));
+  }
+  if (!recorded) return;
+  const direct = times.get('direct') ?? 0;
+  times.forEach((time, way) => {
+    histograms.get(way)?.recordValue(Math.round(time));
+    differences.get(way)?.recordValue(Math.max(0, Math.round(time - direct)));
+  });
+}
+
+async function runRounds(count: number, recorded: boolean): Promise<void> {
+  const startedAt = performance.now();
+  const pending = new Set<Promise<void>>();
+  for (let index = 0; index < count; index++) {
+    const dueAt = startedAt + (index * 1000) / perSecond;
+    const waitMs = dueAt - performance.now();
+    if (waitMs > 0) await systemClock.sleep(waitMs);
+    const round = runRound(index, recorded);
+    pending.add(round);
+    round.finally(() => pending.delete(round)).catch(() => undefined);
+  }
+  await Promise.all(pending);
+}
+
+await runRounds(WARM_UP_ROUNDS, false);
+await runRounds(rounds, true);
+
+function milliseconds(microseconds: number): number {
+  return Math.round(microseconds) / MICROSECONDS_PER_MS;
+}
+
+function percentileOf(way: Way, percentile: number): number {
+  return milliseconds(histograms.get(way)?.getValueAtPercentile(percentile) ?? 0);
+}
+
+function addedOf(way: Way, percentile: number): number {
+  return Number((percentileOf(way, percentile) - percentileOf('direct', percentile)).toFixed(3));
+}
+
+function pairedOf(way: Way, percentile: number): number {
+  return milliseconds(differences.get(way)?.getValueAtPercentile(percentile) ?? 0);
+}
+
+console.log(`${rounds} rounds of ${ways.length} calls at ${perSecond} rounds/s; times in ms`);
+console.table(
+  Object.fromEntries(
+    ways.map((way) => [
+      way,
+      {
+        p50: percentileOf(way, 50),
+        p99: percentileOf(way, 99),
+        'added p50': addedOf(way, 50),
+        'added p99': addedOf(way, 99),
+        'paired p50': pairedOf(way, 50),
+        'paired p99': pairedOf(way, 99),
+      },
+    ]),
+  ),
+);
+console.log('cost of each hop at p50:');
+console.log(`  bare pass-through (polka + undici)     ${addedOf('passThrough', 50)} ms`);
+console.log(`  daemon of the target (embedded caller) ${addedOf('embedded', 50)} ms`);
+const firstHop = addedOf('twoHops', 50) - addedOf('embedded', 50);
+console.log(`  daemon of the caller (two hops)        ${firstHop.toFixed(3)} ms`);
+await caller.stop();
+await peers.close();
+await agent.destroy();
+await passThrough.end('SIGTERM');
+await deployment.stop();
+console.log(
+  JSON.stringify({
+    embedded: { added_p50_ms: addedOf('embedded', 50), added_p99_ms: addedOf('embedded', 99) },
+    two_hops: { added_p50_ms: addedOf('twoHops', 50), added_p99_ms: addedOf('twoHops', 99) },
+    passthrough_p50_ms: addedOf('passThrough', 50),
+    passthrough_p99_ms: addedOf('passThrough', 99),
+    paired: {
+      embedded_p99_ms: pairedOf('embedded', 99),
+      two_hops_p99_ms: pairedOf('twoHops', 99),
+      passthrough_p99_ms: pairedOf('passThrough', 99),
+    },
+  }),
+);
+process.exit(0);
