--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -21,8 +21,8 @@
   policy: CallPolicy;
   context: CallContext;
   allowance: AttemptAllowance;
-  /** Aborted when the parent call is no longer wanted; never for a root. */
-  signal: AbortSignal;
+  /** Aborted when the parent call is no longer wanted; a root has none. */
+  signal: AbortSignal | undefined;
   /** Returns what was not spent to the parent; to be called once, at the end. */
   settle(): void;
 }
@@ -36,8 +36,6 @@
   childKey: (parentKey: string, call: string, label: string) => string;
 }
 
-const neverAborted = new AbortController().signal;
-
 function failed(code: (typeof ResultCode)[keyof typeof ResultCode], message: string) {
   return Err(createFailure(code, message));
 }
@@ -85,7 +83,7 @@
       key,
     };
     const allowance = new AttemptAllowance(policy.attemptTokens, policy.children.length);
-    return Ok({ policy, context, allowance, signal: neverAborted, settle: () => undefined });
+    return Ok({ policy, context, allowance, signal: undefined, settle: () => undefined });
   }
 
   /** Name of a child within one execution of its parent, the same when the parent runs again. */
--- a/packages/core/src/embeddedCaller.ts
+++ b/packages/core/src/embeddedCaller.ts
@@ -88,6 +88,7 @@
     }),
     retryBudget: new RetryBudget(clock),
     histograms,
+    logger: options.logger,
     incarnation: uuidv7(),
     originOf: createCallOrigins({
       clock,
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -11,6 +11,8 @@
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import type { Histograms } from './histograms.js';
+import { joinSignals } from './joinedSignal.js';
+import type { Logger } from './logger.js';
 import type { Member } from './member.js';
 import type { RandomSource } from './random.js';
 import { ResultCode, isNotRun, isOutcomeUnknown } from './resultCode.js';
@@ -36,6 +38,7 @@
   router: TargetRouter;
   retryBudget: RetryBudget;
   histograms: Histograms;
+  logger: Logger;
   /** Finds policy, context and allowance of a request. */
   originOf: (request: CallRequest) => Result<CallOrigin, Failure>;
   /** Unique id of this process, part of every request id. */
@@ -152,6 +155,14 @@
       latencyMs: clock.now() - startedAt,
       attempts: call.attempts,
     });
+    options.logger.log(end.code === ResultCode.ok ? 'debug' : 'info', 'call ended', {
+      request: context.root,
+      call: policy.name,
+      code: end.code,
+      importance: context.importance,
+      caller: context.caller,
+      attempts: call.attempts,
+    });
     return end.answer;
   }
 
@@ -159,7 +170,11 @@
     call: async (request, signal) => {
       const origin = options.originOf(request);
       if (origin.isErr()) return answerOfFailure(origin.error);
-      return run(origin.value, request, AbortSignal.any([signal, origin.value.signal]));
+      if (!origin.value.signal) return run(origin.value, request, signal);
+      const joined = joinSignals(signal, origin.value.signal);
+      const answer = await run(origin.value, request, joined.signal);
+      joined.release();
+      return answer;
     },
   };
 }
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -14,6 +14,7 @@
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import type { Histograms } from './histograms.js';
+import type { Logger } from './logger.js';
 import { ResultCode } from './resultCode.js';
 import type { RunningCalls } from './runningCalls.js';
 import type { TargetRegistry } from './targetRegistry.js';
@@ -43,6 +44,7 @@
   registry: TargetRegistry;
   runningCalls: RunningCalls;
   histograms: Histograms;
+  logger: Logger;
   configuration: () => Configuration | undefined;
   oneShot: OneShotRunner;
   /** Unique id of this process. */
@@ -193,6 +195,12 @@
       const call: GuardedCall = { request, policy, context: context.value, allowance, signal };
       const result = await run(call);
       const answer = result.isOk() ? result.value : answerOfFailure(result.error);
+      options.logger.log('debug', 'call left the target', {
+        request: call.context.root,
+        call: policy.name,
+        code: result.isOk() ? ResultCode.ok : result.error.code,
+        importance: call.context.importance,
+      });
       return finish(answer, request, allowance.close());
     },
   };
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -1,7 +1,10 @@
 import winston from 'winston';
 
-/** Levels of a log line. */
-export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+/** Levels of a log line, the most urgent first. */
+export const levels = ['error', 'warn', 'info', 'debug'] as const;
+
+/** Level of a log line. */
+export type LogLevel = (typeof levels)[number];
 
 /** Fields of a log line. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
@@ -21,7 +24,13 @@
       new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] }),
     ],
   });
-  return { log: (lineLevel, message, fields) => target.log(lineLevel, message, fields) };
+  const wanted = levels.indexOf(level);
+  return {
+    log: (lineLevel, message, fields) => {
+      // Lines that are not wanted must cost calls nothing.
+      if (levels.indexOf(lineLevel) <= wanted) target.log(lineLevel, message, fields);
+    },
+  };
 }
 
 /** A logger that writes nothing. */
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -112,6 +112,7 @@
     registry,
     runningCalls,
     histograms,
+    logger: options.logger,
     configuration,
     oneShot: (_policy, _context, work) => work(Infinity),
     incarnation,
@@ -131,6 +132,7 @@
     }),
     retryBudget: new RetryBudget(clock),
     histograms,
+    logger: options.logger,
     incarnation,
     originOf: createCallOrigins({
       clock,
