feat(core): homes and deputies of shards for at-most-once calls

Keys (UUIDv7), the shard records in the store, pledges, takeover, handover, the table of answers and createOneShot, the part a daemon uses.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,3 +88,19 @@
   parseDeadlineMs,
   remainingForHopMs,
 } from './deadline.js';
+export { deriveKey, mintKey, readKey, shardOf, timeOfKey } from './idempotencyKey.js';
+export { rankByRendezvous } from './rendezvous.js';
+export { createOneShot, settleNotHome } from './oneShot.js';
+export type { OneShot, OneShotOptions, ShardStatus } from './oneShot.js';
+export { defaultOneShotTiming } from './oneShotTiming.js';
+export type { OneShotTiming } from './oneShotTiming.js';
+export { AnswerTable, defaultAnswerTableLimits } from './answerTable.js';
+export type { AnswerTableLimits, CallOutcome } from './answerTable.js';
+export { ShardHome, createShardHome } from './shardHome.js';
+export type { Execute, ExecutionBounds, ShardHomeFactory, ShardHomeOptions } from './shardHome.js';
+export { ShardDeputy, createShardDeputy } from './shardDeputy.js';
+export type { ShardDeputyFactory } from './shardDeputy.js';
+export { ShardRecords } from './shardRecord.js';
+export type { Holder, ShardRecord, ShardState } from './shardRecord.js';
+export { createHomeLocator } from './homeLocator.js';
+export type { HomeLocator } from './homeLocator.js';
