--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -104,3 +104,4 @@
 export type { Holder, ShardRecord, ShardState } from './shardRecord.js';
 export { createHomeLocator } from './homeLocator.js';
 export type { HomeLocator } from './homeLocator.js';
+export { sleepByTimer } from './timerSleep.js';
--- a/packages/core/src/manualClock.ts
+++ b/packages/core/src/manualClock.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from './clock.js';
+import { sleepByTimer } from './timerSleep.js';
 
 interface PendingTimer {
   dueAt: number;
@@ -35,15 +36,8 @@
     return { cancel: () => this.pending.delete(timer) };
   }
 
-  async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    signal?.throwIfAborted();
-    let timer: Timer | undefined;
-    await new Promise<void>((resolve) => {
-      timer = this.startTimer(ms, resolve);
-      signal?.addEventListener('abort', () => resolve(), { once: true });
-    });
-    timer?.cancel();
-    signal?.throwIfAborted();
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return sleepByTimer(this, ms, signal);
   }
 
   /** Moves time forward by `ms`, firing due timers in order and letting their promises settle. */
