feat(core): configuration in force, bounded target subsets and bootstrap addresses

Cause: a revision must be in force everywhere within 6 s without every daemon asking the store, and connections must not grow with the fleet. Two daemons per data centre, chosen by rendezvous, watch the store and read it again with jitter; others get differences by push, and lagging ones notice by the revision that rides on every exchange. The log of a daemon moves only upwards. Subsets are a rendezvous choice: 4 near, 2 in other data centres.

--- /dev/null
+++ b/packages/core/src/__tests__/bootstrapAddresses.spec.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createBootstrapKeeper, readBootstrapAddresses } from '../bootstrapAddresses.js';
+import { silentLogger } from '../logger.js';
+import { BOOTSTRAP_PREFIX } from '../storeKeys.js';
+import { Fleet, kill } from './fleet.js';
+import type { FleetDaemon } from './fleet.js';
+
+const MINUTES_MS = 180_000;
+
+function keepBootstrap(fleet: Fleet, daemon: FleetDaemon): void {
+  createBootstrapKeeper({
+    membership: daemon.membership,
+    store: daemon.store,
+    clock: daemon.clock,
+    random: fleet.random,
+    logger: silentLogger,
+  }).start();
+}
+
+async function fleetOf(size: number): Promise<Fleet> {
+  const fleet = new Fleet(5);
+  for (let number = 1; number <= size; number++) {
+    keepBootstrap(fleet, await fleet.join(`10.0.0.${number}`));
+  }
+  await fleet.clock.advance(MINUTES_MS);
+  return fleet;
+}
+
+async function storedAddresses(fleet: Fleet): Promise<string[]> {
+  const read = await readBootstrapAddresses(fleet.store, [], fleet.clock);
+  return read.map(({ address }) => address);
+}
+
+test('three live addresses of the data centre are kept, and written only when one is gone', async () => {
+  const fleet = await fleetOf(8);
+  const first = await storedAddresses(fleet);
+  assert.equal(new Set(first).size, 3);
+  const { revision } = fleet.store.database;
+  await fleet.clock.advance(MINUTES_MS);
+  assert.equal(fleet.store.database.revision, revision);
+
+  const [victim] = fleet.alive().filter((one) => one.membership.self().address === first[0]);
+  assert.ok(victim);
+  kill(victim);
+  await fleet.clock.advance(MINUTES_MS);
+  const second = await storedAddresses(fleet);
+  assert.equal(new Set(second).size, 3);
+  assert.ok(!second.includes(first[0] as string));
+});
+
+test('a write whose answer was lost leaves three live addresses all the same', async () => {
+  const fleet = new Fleet(6);
+  for (let number = 1; number <= 5; number++) {
+    const daemon = await fleet.join(`10.0.0.${number}`);
+    daemon.store.loseNextAnswer('early');
+    keepBootstrap(fleet, daemon);
+  }
+  await fleet.clock.advance(MINUTES_MS);
+  assert.equal(new Set(await storedAddresses(fleet)).size, 3);
+});
+
+test('the settings serve when the store is down', async () => {
+  const fleet = new Fleet(7);
+  fleet.store.setDown(true);
+  const settings = [{ address: '10.0.0.9', port: 7002 }];
+  assert.deepEqual(await readBootstrapAddresses(fleet.store, settings, fleet.clock), settings);
+  assert.equal(BOOTSTRAP_PREFIX.endsWith('/'), true);
+});
--- /dev/null
+++ b/packages/core/src/__tests__/configurationDelta.spec.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fc from 'fast-check';
+import type { Configuration } from '../configuration.js';
+import { applyConfigurationDelta, createConfigurationDelta } from '../configurationDelta.js';
+import { configurationOf } from './fleet.js';
+
+const services = fc.dictionary(
+  fc.constantFrom('a', 'b', 'c', 'd'),
+  fc.nat(3).map((slots) => ({
+    name: 'x',
+    slots,
+    connections: 1,
+    limit: 'fixed' as const,
+    shards: 1,
+  })),
+);
+
+test('a difference turns one revision into exactly the next', () => {
+  fc.assert(
+    fc.property(services, services, (before, after) => {
+      const first: Configuration = { ...configurationOf(1), services: before };
+      const second: Configuration = { ...configurationOf(2), services: after };
+      const delta = createConfigurationDelta(first, second);
+      const taken = applyConfigurationDelta(first, JSON.parse(JSON.stringify(delta)));
+      assert.deepEqual({ ...taken }, { ...second, services: { ...after } });
+    }),
+    { seed: 7, numRuns: 200 },
+  );
+});
+
+test('a difference made for another change of the same number is refused', () => {
+  const delta = createConfigurationDelta(configurationOf(1), configurationOf(2));
+  const other = { ...configurationOf(1), changeId: 'another' };
+  assert.equal(applyConfigurationDelta(other, delta), undefined);
+});
--- a/packages/core/src/__tests__/fleet.ts
+++ b/packages/core/src/__tests__/fleet.ts
@@ -1,14 +1,19 @@
+import { createConfigurationKeeper } from '../configurationKeeper.js';
+import type { ConfigurationKeeper } from '../configurationKeeper.js';
 import { silentLogger } from '../logger.js';
 import { ManualClock } from '../manualClock.js';
+import type { Configuration } from '../configuration.js';
 import type { Member } from '../member.js';
 import { createMembership } from '../membership.js';
 import type { Membership } from '../membership.js';
-import { peerAddressOf } from '../membershipContext.js';
+import { MembershipMethod, peerAddressOf } from '../membershipContext.js';
 import { MemoryNetwork } from '../memoryNetwork.js';
 import type { MemoryPeer } from '../memoryNetwork.js';
-import type { PeerAddress } from '../peer.js';
+import { MemoryStore } from '../memoryStore.js';
+import type { PeerAddress, PeerCaller } from '../peer.js';
 import { createSeededRandom } from '../random.js';
 import type { RandomSource } from '../random.js';
+import { CONFIGURATION_KEY } from '../storeKeys.js';
 import { PausableClock } from './pausableClock.js';
 
 /** One daemon of a fleet in memory. */
@@ -17,6 +22,8 @@
   clock: PausableClock;
   peer: MemoryPeer;
   membership: Membership;
+  store: MemoryStore;
+  keeper: ConfigurationKeeper;
   state: 'up' | 'paused' | 'ended';
 }
 
@@ -46,6 +53,7 @@
 export function kill(daemon: FleetDaemon): void {
   daemon.peer.detach();
   daemon.membership.stop();
+  daemon.keeper.stop();
   Object.assign(daemon, { state: 'ended' });
 }
 
@@ -61,6 +69,20 @@
   daemon.clock.resume();
 }
 
+/** Makes the configuration of a revision; each differs from the one before in one service. */
+export function configurationOf(revision: number): Configuration {
+  const service = `service-${revision % 3}`;
+  return {
+    revision,
+    changeId: `change-${revision}`,
+    objective: 'goodput',
+    services: {
+      [service]: { name: service, slots: revision, connections: 10, limit: 'adaptive', shards: 1 },
+    },
+    calls: {},
+  };
+}
+
 /** A fleet of daemons in memory, on one manual clock, with faults. */
 export class Fleet {
   readonly clock = new ManualClock();
@@ -74,8 +96,19 @@
   /** Addresses on the far side of a partition. */
   readonly farSide = new Set<string>();
 
+  /** The operators' session with the store. */
+  readonly store = new MemoryStore(this.clock);
+
+  /** Watches that daemons open tell nothing. */
+  silentWatches = false;
+
+  /** Exchanges of the past, for replays. */
+  readonly recorded: unknown[] = [];
+
   private started = 0;
 
+  private storeDown = false;
+
   constructor(seed: number) {
     this.random = createSeededRandom(seed);
     this.network.reach = (from, to) => this.isReachable(from, to);
@@ -93,19 +126,54 @@
       self,
       clock,
       random: this.random,
-      peers: peer,
+      peers: this.recording(peer),
       methods: peer,
       bootstrap: async () => bootstrap,
       logger: silentLogger,
     });
-    const daemon: FleetDaemon = { name, clock, peer, membership, state: 'up' };
+    const store = this.store.session();
+    store.setDown(this.storeDown);
+    if (this.silentWatches) Object.assign(store, { watch: () => ({ close: () => undefined }) });
+    const keeper = createConfigurationKeeper({
+      membership,
+      store,
+      peers: peer,
+      methods: peer,
+      clock,
+      random: this.random,
+      logger: silentLogger,
+    });
+    const daemon: FleetDaemon = { name, clock, peer, membership, store, keeper, state: 'up' };
     this.daemons.push(daemon);
-    const start = membership.start();
-    start.catch(() => undefined);
+    membership
+      .start()
+      .then(() => keeper.start())
+      .catch(() => undefined);
     await ManualClock.settle();
     return daemon;
   }
 
+  /** Takes the store away from every daemon, or gives it back. */
+  setStoreDown(down: boolean): void {
+    this.storeDown = down;
+    this.alive().forEach((daemon) => daemon.store.setDown(down));
+  }
+
+  /** Accepts the next revision in the store; resolves with its number. */
+  async apply(): Promise<number> {
+    const entry = (await this.store.get(CONFIGURATION_KEY)).unwrap();
+    const held = entry ? (JSON.parse(entry.value) as Configuration) : undefined;
+    const next = configurationOf((held?.revision ?? 0) + 1);
+    await this.store.swap(CONFIGURATION_KEY, entry?.modRevision ?? 0, JSON.stringify(next));
+    return next.revision;
+  }
+
+  /** Revisions in force at the daemons that are up. */
+  revisions(): number[] {
+    const up = this.alive().filter((daemon) => daemon.state === 'up');
+    return up.map((daemon) => daemon.keeper.current()?.revision ?? 0);
+  }
+
   /** Ends a daemon as planned. */
   async leave(daemon: FleetDaemon): Promise<void> {
     const left = daemon.membership.leave();
@@ -151,6 +219,26 @@
     return this.alive().every((daemon) => Fleet.viewOf(daemon).join() === right);
   }
 
+  /** A message of the past reaches a daemon now. */
+  async replay(pick: number, daemon: FleetDaemon): Promise<void> {
+    const params = this.recorded[pick % this.recorded.length];
+    const ghost = this.network.attach({ address: '10.9.9.9', port: 1 });
+    const to = peerAddressOf(daemon.membership.self());
+    const sent = ghost.call(to, MembershipMethod.exchange, params, 1000);
+    await this.clock.advance(1000);
+    await sent;
+  }
+
+  private recording(peer: MemoryPeer): PeerCaller {
+    return {
+      close: () => peer.close(),
+      call: (to, method, params, timeoutMs) => {
+        if (method === MembershipMethod.exchange) this.recorded.push(params);
+        return peer.call(to, method, params, timeoutMs);
+      },
+    };
+  }
+
   private isReachable(from: PeerAddress, to: PeerAddress): boolean {
     const paused = [...this.daemonAt(from.address), ...this.daemonAt(to.address)].some(
       (daemon) => daemon.state === 'paused',
--- /dev/null
+++ b/packages/core/src/__tests__/membershipOrders.spec.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fc from 'fast-check';
+import { Fleet, kill, pause, resume } from './fleet.js';
+import type { FleetDaemon } from './fleet.js';
+
+/** Longest time in which views agree once faults have ceased, on the manual clock. */
+const AGREEMENT_BOUND_MS = 120_000;
+
+/** In force everywhere within this time: the users' bound. */
+const IN_FORCE_MS = 6000;
+
+const ADDRESSES = 7;
+
+type Act = 'join' | 'leave' | 'kill' | 'pause' | 'resume' | 'cut' | 'heal' | 'apply' | 'storeDown';
+
+interface Step {
+  act: Act | 'storeUp' | 'replay' | 'drain';
+  pick: number;
+  /** Time before the next step, in milliseconds. */
+  pauseMs: number;
+}
+
+const steps = fc.array(
+  fc.record<Step>({
+    act: fc.constantFrom<Step['act']>(
+      'join',
+      'join',
+      'leave',
+      'kill',
+      'pause',
+      'resume',
+      'cut',
+      'heal',
+      'apply',
+      'storeDown',
+      'storeUp',
+      'replay',
+      'replay',
+      'drain',
+    ),
+    pick: fc.nat(1000),
+    pauseMs: fc.constantFrom(0, 300, 3000, 30_000),
+  }),
+  { minLength: 8, maxLength: 25 },
+);
+
+/** Notes what must never happen at one daemon, from its own view. */
+function guardInvariants(daemon: FleetDaemon, broken: string[]): void {
+  const buried = new Map<string, number>();
+  let revision = 0;
+  daemon.membership.onChange(() => {
+    daemon.membership.members().forEach((member) => {
+      const { incarnation, version, state } = member;
+      const last = buried.get(incarnation) ?? -1;
+      if (state === 'gone') buried.set(incarnation, Math.max(last, version));
+      else if (version <= last) broken.push(`${daemon.name} revived ${incarnation}`);
+    });
+  });
+  daemon.keeper.onChange((next) => {
+    if (next.revision <= revision) broken.push(`${daemon.name} went back to ${next.revision}`);
+    revision = next.revision;
+  });
+}
+
+function pickOf(daemons: FleetDaemon[], pick: number): FleetDaemon | undefined {
+  return daemons[pick % daemons.length];
+}
+
+async function runStep(fleet: Fleet, { act, pick }: Step, broken: string[]): Promise<void> {
+  const up = fleet.alive().filter((daemon) => daemon.state === 'up');
+  const daemon = pickOf(up, pick);
+  const paused = pickOf(
+    fleet.alive().filter((one) => one.state === 'paused'),
+    pick,
+  );
+  const address = `10.0.0.${1 + (pick % ADDRESSES)}`;
+  if (act === 'join') guardInvariants(await fleet.join(address), broken);
+  if (act === 'apply') await fleet.apply();
+  if (act === 'storeDown') fleet.setStoreDown(true);
+  if (act === 'storeUp') fleet.setStoreDown(false);
+  if (act === 'cut') fleet.farSide.add(address);
+  if (act === 'heal') fleet.farSide.clear();
+  if (act === 'resume' && paused) resume(paused);
+  if (!daemon) return;
+  if (act === 'replay') await fleet.replay(pick, daemon);
+  // One daemon stays, or there would be no one left who knows the revision.
+  if (up.length < 2) return;
+  if (act === 'leave') await fleet.leave(daemon);
+  if (act === 'kill') kill(daemon);
+  if (act === 'pause') pause(daemon);
+  if (act === 'drain') daemon.membership.update({ state: 'draining' }).catch(() => undefined);
+}
+
+async function ceaseFaults(fleet: Fleet): Promise<void> {
+  fleet.farSide.clear();
+  fleet.setStoreDown(false);
+  fleet
+    .alive()
+    .filter((daemon) => daemon.state === 'paused')
+    .forEach(resume);
+  await fleet.join('10.0.0.1');
+}
+
+async function runOrder(seed: number, order: Step[]): Promise<void> {
+  const fleet = new Fleet(seed);
+  const broken: string[] = [];
+  for (let number = 1; number <= 4; number++) {
+    guardInvariants(await fleet.join(`10.0.0.${number}`), broken);
+  }
+  for (const step of order) {
+    await runStep(fleet, step, broken);
+    await fleet.clock.advance(step.pauseMs);
+  }
+  await ceaseFaults(fleet);
+  const agreed = await fleet.timeToAgree(AGREEMENT_BOUND_MS);
+  const views = fleet.alive().map((daemon) => `${daemon.name}: ${Fleet.viewOf(daemon).join(' ')}`);
+  assert.notEqual(agreed, undefined, `${fleet.liveNames().join(' ')} but ${views.join('; ')}`);
+  await fleet.clock.advance(AGREEMENT_BOUND_MS);
+  assert.ok(fleet.agrees(), 'views agreed and then differed again');
+  const revision = await fleet.apply();
+  await fleet.clock.advance(IN_FORCE_MS);
+  assert.deepEqual(
+    fleet.revisions(),
+    fleet.alive().map(() => revision),
+  );
+  assert.deepEqual(broken, []);
+}
+
+test('whatever the order of faults, no dead incarnation is revived, no revision goes back, and all agree after', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.nat(1000), steps, (seed, order) => runOrder(seed, order)),
+    { seed: 20, numRuns: 60 },
+  );
+});
--- a/packages/core/src/antiEntropy.ts
+++ b/packages/core/src/antiEntropy.ts
@@ -94,8 +94,10 @@
       page.push(...(incarnations[bucket] ?? []));
       bucket += 1;
     }
-    const news = newsOfAll(page);
-    return bucket < BUCKET_COUNT ? { news, nextBucket: bucket } : { news };
+    if (bucket < BUCKET_COUNT) return { news: newsOfAll(page), nextBucket: bucket };
+    // A newcomer has to know who is dead, or old news could tell it otherwise.
+    const gone = table.goneMembers().map((tombstone) => tombstone.incarnation);
+    return { news: newsOfAll([...page, ...gone]) };
   }
 
   methods.register(MembershipMethod.compare, async (params): Promise<CompareAnswer> => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -135,3 +135,15 @@
 export { MemoryNetwork } from './memoryNetwork.js';
 export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
 export { rendezvous, rendezvousScore } from './hash.js';
+export {
+  callersHolding,
+  chooseTargetSubset,
+  createTargetSubsets,
+  defaultSubsetSize,
+} from './targetSubset.js';
+export type { CallingHost, SubsetSize, TargetSubsets } from './targetSubset.js';
+export { createConfigurationKeeper } from './configurationKeeper.js';
+export type { ConfigurationKeeper, ConfigurationKeeperOptions } from './configurationKeeper.js';
+export { createBootstrapKeeper, readBootstrapAddresses } from './bootstrapAddresses.js';
+export type { BootstrapKeeper, BootstrapKeeperOptions } from './bootstrapAddresses.js';
+export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './storeKeys.js';
