--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -152,3 +152,15 @@
 export { createHomeLocator } from './homeLocator.js';
 export type { HomeLocator } from './homeLocator.js';
 export { sleepByTimer } from './timerSleep.js';
+export {
+  callersHolding,
+  chooseTargetSubset,
+  createTargetSubsets,
+  defaultSubsetSize,
+} from './targetSubset.js';
+export type { CallingHost, SubsetSize, TargetSubsets } from './targetSubset.js';
+export { createConfigurationKeeper } from './configurationKeeper.js';
+export type { ConfigurationKeeper, ConfigurationKeeperOptions } from './configurationKeeper.js';
+export { createBootstrapKeeper, readBootstrapAddresses } from './bootstrapAddresses.js';
+export type { BootstrapKeeper, BootstrapKeeperOptions } from './bootstrapAddresses.js';
+export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './storeKeys.js';
