feat(core): homes and deputies of shards for at-most-once calls

Keys (UUIDv7), the shard records in the store, pledges, takeover, handover, the table of answers and createOneShot, the part a daemon uses.

--- /dev/null
+++ b/packages/core/src/deputyChoice.ts
@@ -0,0 +1,61 @@
+import type { Clock } from './clock.js';
+import type { Directory, Member } from './member.js';
+import { rankByRendezvous } from './rendezvous.js';
+import { holderOf } from './shardRecord.js';
+import type { Holder } from './shardRecord.js';
+
+const AVOID_MS = 60_000;
+
+/** Chooses daemons of one service for shards. */
+export class DeputyChoice {
+  private readonly avoidedUntil = new Map<string, number>();
+
+  constructor(
+    private readonly self: Member,
+    private readonly service: string,
+    private readonly directory: Directory,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Leaves a daemon that did not answer out of the choice for a while. */
+  avoid(incarnation: string): void {
+    this.avoidedUntil.set(incarnation, this.clock.now() + AVOID_MS);
+  }
+
+  /** The deputy for a home: in another data centre where there is one, the same for all its shards. */
+  deputyFor(home: Holder, excluded: string[]): Holder | null {
+    const candidates = this.others().filter(({ incarnation }) => {
+      if (incarnation === home.incarnation || excluded.includes(incarnation)) return false;
+      return (this.avoidedUntil.get(incarnation) ?? -Infinity) <= this.clock.now();
+    });
+    if (home.incarnation !== this.self.incarnation) candidates.push(this.self);
+    const ranked = rankByRendezvous(home.incarnation, candidates, (member) => member.incarnation);
+    const dataCentre = this.dataCentreOf(home);
+    const remote = ranked.find((member) => member.dataCentre !== dataCentre);
+    const chosen = remote ?? ranked[0];
+    return chosen ? holderOf(chosen) : null;
+  }
+
+  /** The daemon that should be home of a shard; this one counts unless `withoutSelf`. */
+  homeFor(shard: number, withoutSelf = false): Member | undefined {
+    const candidates = withoutSelf ? this.others() : [...this.others(), this.self];
+    const subject = `${this.service}/${shard}`;
+    return rankByRendezvous(subject, candidates, (member) => member.incarnation)[0];
+  }
+
+  /** Changes when the daemons that take work change. */
+  signature(): string {
+    const incarnations = this.others().map((member) => member.incarnation);
+    return incarnations.sort().join();
+  }
+
+  private others(): Member[] {
+    const targets = this.directory.targetsOf(this.service);
+    return targets.filter(({ incarnation }) => incarnation !== this.self.incarnation);
+  }
+
+  private dataCentreOf(home: Holder): string {
+    if (home.incarnation === this.self.incarnation) return this.self.dataCentre;
+    return this.directory.memberOf(home.incarnation)?.dataCentre ?? '';
+  }
+}
--- /dev/null
+++ b/packages/core/src/idempotencyKey.ts
@@ -0,0 +1,49 @@
+import { createHash } from 'node:crypto';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { parse, v7, validate, version } from 'uuid';
+import type { Clock } from './clock.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import type { RandomSource } from './random.js';
+import { ResultCode } from './resultCode.js';
+
+const KEY_BYTES = 16;
+const TIME_BYTES = 6;
+const KEY_VERSION = 7;
+
+function randomBytes(random: RandomSource): Uint8Array {
+  return Uint8Array.from({ length: KEY_BYTES }, () => Math.floor(random.next() * 256));
+}
+
+/** Mints a key: a UUIDv7 with the present calendar time. */
+export function mintKey(clock: Clock, random: RandomSource): string {
+  return v7({ msecs: clock.date().getTime(), random: randomBytes(random) });
+}
+
+/** The key in lower case, or `badKeyMalformed` when `text` is not a UUIDv7. */
+export function readKey(text: string): Result<string, Failure> {
+  if (validate(text) && version(text) === KEY_VERSION) return Ok(text.toLowerCase());
+  const message = 'the idempotency key is not a UUID of version 7; mint one and send it again';
+  return Err(createFailure(ResultCode.badKeyMalformed, message));
+}
+
+/** When a valid key was minted, in milliseconds since 1970. */
+export function timeOfKey(key: string): number {
+  return Buffer.from(parse(key)).readUIntBE(0, TIME_BYTES);
+}
+
+/**
+ * The key of a child call: the time of its parent's key, the rest a hash of the parent's key,
+ * the name of the call and a label (or an ordinal) that tells several such children apart.
+ */
+export function deriveKey(parent: string, call: string, label: string): string {
+  const text = JSON.stringify([parent.toLowerCase(), call, label]);
+  const random = createHash('sha256').update(text).digest().subarray(0, KEY_BYTES);
+  return v7({ msecs: timeOfKey(parent), random });
+}
+
+/** The shard, from 0 to `shards` - 1, that a key belongs to. */
+export function shardOf(key: string, shards: number): number {
+  return createHash('sha256').update(key.toLowerCase()).digest().readUInt32BE(0) % shards;
+}
--- /dev/null
+++ b/packages/core/src/oneShot.ts
@@ -0,0 +1,121 @@
+import { Err } from 'ts-results-es';
+import { defaultAnswerTableLimits } from './answerTable.js';
+import type { AnswerTableLimits, CallOutcome } from './answerTable.js';
+import type { Clock } from './clock.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import { shardOf } from './idempotencyKey.js';
+import type { Logger } from './logger.js';
+import type { Directory, Member, ShardClaim } from './member.js';
+import { defaultOneShotTiming } from './oneShotTiming.js';
+import type { OneShotTiming } from './oneShotTiming.js';
+import type { PeerCaller, PeerMethods } from './peer.js';
+import type { RandomSource } from './random.js';
+import { ResultCode } from './resultCode.js';
+import { createShardDeputy } from './shardDeputy.js';
+import type { ShardDeputyFactory } from './shardDeputy.js';
+import { createShardHome } from './shardHome.js';
+import type { Execute, ShardHomeFactory } from './shardHome.js';
+import { ShardKeeper } from './shardKeeper.js';
+import type { Store } from './store.js';
+
+/** What at-most-once execution at one daemon needs. */
+export interface OneShotOptions {
+  /**
+   * This daemon; its address and peer port are those it listens on already. A daemon that listens
+   * where an earlier one did proves by it that the earlier one has ended.
+   */
+  self: Member;
+  /** Service of the target beside this daemon. */
+  service: string;
+  /** Shards of the service's key space; must never change while keys are in use. */
+  shards: number;
+  store: Store;
+  peers: PeerCaller;
+  /** Where the control methods of `OneShotMethod` are registered, once. */
+  methods: PeerMethods;
+  directory: Directory;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** Called with all claims whenever they change, to be announced as `Member.homes`. */
+  onClaims: (claims: ShardClaim[]) => void;
+  timing?: Partial<OneShotTiming>;
+  limits?: AnswerTableLimits;
+  createHome?: ShardHomeFactory;
+  createDeputy?: ShardDeputyFactory;
+}
+
+/** State of one shard at this daemon, for `status`. */
+export interface ShardStatus {
+  shard: number;
+  revision: number;
+  /** False when calls are refused now. */
+  serving: boolean;
+  deputy: string | undefined;
+  keys: number;
+}
+
+/** Runs calls that must not run twice, at the home of their key. */
+export interface OneShot {
+  /**
+   * The outcome of `key` (valid, lower case), running it through `execute` if it was never begun;
+   * a further attempt joins the one that runs, or gets the kept outcome. Never rejects.
+   * Fails with `notRun…`, `badKeyFromFuture`: the key has not run anywhere;
+   * `unknown…`, `badKeyExpired`: it may have run;
+   * `notHome`: nothing was begun by this attempt, ask the home (`createHomeLocator`) with the same key.
+   */
+  execute(key: string, execute: Execute): Promise<CallOutcome>;
+  /** Shards that this daemon is home of. */
+  status(): ShardStatus[];
+  /** Reads the records, claims shards without one, and goes on until stopped. */
+  start(): void;
+  /** Planned leave: hands every shard with its table to another daemon. Call before `stop`. */
+  leave(): Promise<void>;
+  /** Begins nothing more, answers no peer, and ends all tasks. */
+  stop(): Promise<void>;
+}
+
+/**
+ * What a caller is told in place of `notHome`. `soleAttempt`: the key was minted for this call by
+ * the one who asks, and every attempt made with it was answered with `notHome` or `notRun…`.
+ */
+export function settleNotHome(failure: Failure, soleAttempt: boolean): Failure {
+  if (failure.code !== ResultCode.notHome) return failure;
+  if (soleAttempt) {
+    const message = 'no daemon is home of the key at present; try again with the same key';
+    return createFailure(ResultCode.notRunHomeUnavailable, message);
+  }
+  const message = 'the home of the key is not known at present; try again with the same key';
+  return createFailure(ResultCode.unknownKeyMayHaveRun, message);
+}
+
+/** Makes the part of a daemon that runs non-repeatable calls at most once. */
+export function createOneShot(options: OneShotOptions): OneShot {
+  const keeper = new ShardKeeper({
+    ...options,
+    timing: { ...defaultOneShotTiming, ...options.timing },
+    limits: options.limits ?? defaultAnswerTableLimits,
+    createHome: options.createHome ?? createShardHome,
+    createDeputy: options.createDeputy ?? createShardDeputy,
+  });
+  return {
+    execute: async (key, execute) => {
+      const home = keeper.book.homes.get(shardOf(key, options.shards));
+      if (home) return home.execute(key, execute);
+      const message = 'this daemon is not home of the key; try the key again';
+      return Err(createFailure(ResultCode.notHome, message));
+    },
+    status: () =>
+      [...keeper.book.homes.values()].map((home) => ({
+        shard: home.state.shard,
+        revision: home.state.revision,
+        serving: home.isServing(),
+        deputy: home.state.record.deputy?.incarnation,
+        keys: home.table.size,
+      })),
+    start: () => keeper.start(),
+    leave: () => keeper.leave(),
+    stop: () => keeper.stop(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/pledge.ts
@@ -0,0 +1,34 @@
+import { z } from 'zod';
+
+/** Control methods of the at-most-once protocol, between the daemons of one service. */
+export const OneShotMethod = {
+  /** Params `PledgeRequest`, answers `PledgeAnswer`. */
+  pledge: 'oneShot.pledge',
+  /** Params `StagedTable`, answers true when the rows were taken in. */
+  stage: 'oneShot.stage',
+  /** Params `{ shard }`: the record of the shard has changed; answers true. */
+  changed: 'oneShot.changed',
+} as const;
+
+/** A shard and the revision of its record. */
+export const shardRevisionSchema = z.object({ shard: z.number(), revision: z.number() });
+
+/** A shard and the revision of its record. */
+export type ShardRevision = z.infer<typeof shardRevisionSchema>;
+
+/** Asks for pledges for all shards that one daemon is home and another is deputy of. */
+export const pledgeRequestSchema = z.object({
+  service: z.string(),
+  home: z.string(),
+  deputy: z.string(),
+  shards: z.array(shardRevisionSchema),
+});
+
+/** Asks for pledges for all shards that one daemon is home and another is deputy of. */
+export type PledgeRequest = z.infer<typeof pledgeRequestSchema>;
+
+/** The shards for which the pledge is given; `deputy` is the incarnation that gives it. */
+export interface PledgeAnswer {
+  deputy: string;
+  granted: ShardRevision[];
+}
--- /dev/null
+++ b/packages/core/src/pledgeExchange.ts
@@ -0,0 +1,75 @@
+import { readInstant } from './oneShotTiming.js';
+import type { Instant } from './oneShotTiming.js';
+import { OneShotMethod } from './pledge.js';
+import type { PledgeAnswer, PledgeRequest, ShardRevision } from './pledge.js';
+import type { ShardContext } from './shardContext.js';
+import type { ShardHome } from './shardHome.js';
+
+/** Asks deputies for pledges, one message for all shards of a pair of daemons, and answers homes. */
+export class PledgeExchange {
+  /** Shards whose deputy refused: it may know a newer record. */
+  readonly doubtedShards = new Set<number>();
+
+  constructor(private readonly context: ShardContext) {}
+
+  /** Asks each deputy once, for all the shards it is deputy of. */
+  askAll(): void {
+    const byDeputy = new Map<string, ShardHome[]>();
+    this.context.book.homes.forEach((home) => {
+      const deputy = home.state.record.deputy?.incarnation;
+      if (deputy) byDeputy.set(deputy, [...(byDeputy.get(deputy) ?? []), home]);
+    });
+    byDeputy.forEach((homes) => this.context.tasks.spawn(() => this.ask(homes)));
+  }
+
+  /** Asks for a home's pledge at once. */
+  async ask(homes: ShardHome[]): Promise<void> {
+    const { self, options } = this.context;
+    const deputy = homes[0]?.state.record.deputy;
+    if (!deputy) return;
+    const asked = readInstant(options.clock);
+    const shards = homes.map(({ state }) => ({ shard: state.shard, revision: state.revision }));
+    const request: PledgeRequest = {
+      service: options.service,
+      home: self.incarnation,
+      deputy: deputy.incarnation,
+      shards,
+    };
+    const answer = await options.peers.call<PledgeAnswer>(
+      { address: deputy.address, port: deputy.peerPort },
+      OneShotMethod.pledge,
+      request,
+      options.timing.pledgeIntervalMs,
+    );
+    if (answer.isErr() || answer.value.deputy !== deputy.incarnation) return;
+    this.notePledges(shards, answer.value.granted, asked);
+  }
+
+  /** Answers the request of a home. */
+  answer(request: PledgeRequest): PledgeAnswer {
+    const { self, options, tasks } = this.context;
+    const deputy = self.incarnation;
+    const meant = request.deputy === deputy && request.service === options.service;
+    if (!meant || tasks.stopped) return { deputy, granted: [] };
+    return { deputy, granted: request.shards.filter((asked) => this.grant(asked, request.home)) };
+  }
+
+  private grant({ shard, revision }: ShardRevision, home: string): boolean {
+    const { book } = this.context;
+    const known = book.states.get(shard)?.revision ?? 0;
+    if (revision < known) return false;
+    if (revision > known) book.loseHome(shard, home);
+    const granted = book.deputyOf(shard).grant(revision);
+    if (granted) book.deputyShards.add(shard);
+    return granted;
+  }
+
+  private notePledges(asked: ShardRevision[], granted: ShardRevision[], at: Instant): void {
+    const { book } = this.context;
+    granted.forEach(({ shard, revision }) => book.homes.get(shard)?.pledged(revision, at));
+    const grantedShards = new Set(granted.map(({ shard }) => shard));
+    asked.forEach(({ shard }) => {
+      if (!grantedShards.has(shard)) this.doubtedShards.add(shard);
+    });
+  }
+}
--- a/packages/core/src/resultCode.ts
+++ b/packages/core/src/resultCode.ts
@@ -45,6 +45,8 @@
   storeUnavailable: 5001,
   storeOutcomeUnknown: 5002,
   daemonUnreachable: 5003,
+  /** This daemon began nothing, but cannot speak for other attempts of the key. */
+  notHome: 5004,
   internal: 5999,
 } as const;
 
@@ -65,11 +67,14 @@
 
 /** True when the code promises that the call was not run. */
 export function isNotRun(number: number): boolean {
+  // What became of a key is forgotten when it expires, so an earlier attempt may have run.
+  if (number === ResultCode.badKeyExpired) return false;
   return (number >= 1000 && number < 2000) || (number >= 3000 && number < 4000);
 }
 
 /** True when the call may have run. */
 export function isOutcomeUnknown(number: number): boolean {
+  if (number === ResultCode.badKeyExpired) return true;
   return number >= 2000 && number < 3000;
 }
 
--- /dev/null
+++ b/packages/core/src/shardKeeper.ts
@@ -0,0 +1,151 @@
+import { DeputyChoice } from './deputyChoice.js';
+import { stagedTableSchema } from './handover.js';
+import { elapsedSince, readInstant } from './oneShotTiming.js';
+import type { Instant } from './oneShotTiming.js';
+import { OneShotMethod, pledgeRequestSchema, shardRevisionSchema } from './pledge.js';
+import { PledgeExchange } from './pledgeExchange.js';
+import { RecordRefresh } from './recordRefresh.js';
+import { ShardBook } from './shardBook.js';
+import type { ShardContext, ShardKeeperOptions } from './shardContext.js';
+import type { ShardHome } from './shardHome.js';
+import { ShardMoves } from './shardMoves.js';
+import { ShardRecords, holderOf } from './shardRecord.js';
+import { TaskGroup } from './taskGroup.js';
+
+/** Looks after the shards of one service at one daemon. */
+export class ShardKeeper {
+  readonly book: ShardBook;
+
+  private readonly context: ShardContext;
+
+  private readonly pledges: PledgeExchange;
+
+  private readonly moves: ShardMoves;
+
+  private readonly refresh: RecordRefresh;
+
+  private leaving = false;
+
+  private lastTick: Instant | undefined;
+
+  constructor(private readonly options: ShardKeeperOptions) {
+    const { self: member, service, directory, clock, store, logger } = options;
+    const self = holderOf(member);
+    this.book = new ShardBook({ ...options, self });
+    this.context = {
+      options,
+      self,
+      book: this.book,
+      records: new ShardRecords(store, service),
+      choice: new DeputyChoice(member, service, directory, clock),
+      tasks: new TaskGroup(clock, logger),
+    };
+    this.pledges = new PledgeExchange(this.context);
+    this.moves = new ShardMoves(this.context);
+    this.refresh = new RecordRefresh(this.context, this.moves);
+    this.registerMethods();
+  }
+
+  /** Begins to look after the shards. */
+  start(): void {
+    const { tasks } = this.context;
+    tasks.spawn(async () => {
+      while (!tasks.stopped) {
+        this.tick();
+        await tasks.sleep(this.options.timing.pledgeIntervalMs);
+      }
+    });
+  }
+
+  /** Hands every shard to another daemon. */
+  async leave(): Promise<void> {
+    this.leaving = true;
+    await Promise.all([...this.book.homes.values()].map((home) => this.giveAway(home)));
+  }
+
+  /** Ends everything; what was begun at the target goes on. */
+  async stop(): Promise<void> {
+    this.leaving = true;
+    this.book.loseAll();
+    await this.context.tasks.stop();
+  }
+
+  private registerMethods(): void {
+    const { methods, service } = this.options;
+    methods.register(OneShotMethod.pledge, async (params) =>
+      this.pledges.answer(pledgeRequestSchema.parse(params)),
+    );
+    methods.register(OneShotMethod.stage, async (params) => {
+      const table = stagedTableSchema.parse(params);
+      const meant = table.to === this.context.self.incarnation && table.service === service;
+      return meant && !this.leaving && this.book.stage(table);
+    });
+    methods.register(OneShotMethod.changed, async (params) => {
+      const { shard } = shardRevisionSchema.parse(params);
+      this.context.tasks.spawn(() => this.moves.readRecord(shard));
+      return true;
+    });
+  }
+
+  private tick(): void {
+    const { tasks } = this.context;
+    this.forgivePause();
+    this.pledges.askAll();
+    this.book.homes.forEach((home) => this.careForHome(home));
+    this.book.deputyShards.forEach((shard) => this.careForDeputy(shard));
+    this.book.stagedShards().forEach((shard) => tasks.spawn(() => this.moves.readRecord(shard)));
+    if (!this.leaving) tasks.spawn(() => this.refresh.refreshWhenDue());
+  }
+
+  /** After a pause of this daemon the silence of a deputy proves nothing. */
+  private forgivePause(): void {
+    const { clock, timing } = this.options;
+    const last = this.lastTick;
+    this.lastTick = readInstant(clock);
+    if (!last || elapsedSince(clock, last) < 2 * timing.pledgeIntervalMs) return;
+    this.book.homes.forEach((home) => home.forgiveSilence());
+  }
+
+  private careForHome(home: ShardHome): void {
+    const { shard } = home.state;
+    if (this.pledges.doubtedShards.delete(shard)) {
+      this.context.tasks.spawn(() => this.moves.readRecord(shard));
+    }
+    if (this.leaving || !this.needsDeputy(home)) return;
+    this.context.tasks.spawn(() => this.moves.tryMove(shard, () => this.renewDeputy(home)));
+  }
+
+  private async renewDeputy(home: ShardHome): Promise<void> {
+    await this.moves.replaceDeputy(home);
+    // Until the new deputy has pledged, calls are refused.
+    if (this.book.homes.get(home.state.shard) === home) await this.pledges.ask([home]);
+  }
+
+  private needsDeputy(home: ShardHome): boolean {
+    const { choice, self } = this.context;
+    const { deputy } = home.state.record;
+    if (!deputy) return choice.deputyFor(self, []) !== null;
+    if (home.deputySilenceMs() >= this.options.timing.deputyPatienceMs) {
+      choice.avoid(deputy.incarnation);
+      return true;
+    }
+    const state = this.options.directory.memberOf(deputy.incarnation)?.state;
+    return state === 'draining' || state === 'gone';
+  }
+
+  private careForDeputy(shard: number): void {
+    if (this.leaving || !this.book.deputyOf(shard).mayTakeOver()) return;
+    const { tasks } = this.context;
+    tasks.spawn(() => this.moves.tryMove(shard, () => this.moves.takeOver(shard)));
+  }
+
+  private async giveAway(home: ShardHome): Promise<void> {
+    const { shard } = home.state;
+    const successor = this.context.choice.homeFor(shard, true);
+    if (!successor) return;
+    await this.moves.afterMove(shard, async () => {
+      if (this.book.homes.get(shard) !== home) return;
+      await this.moves.handOver(home, holderOf(successor), true);
+    });
+  }
+}
