test: a fleet of homes and deputies under kill, pause, partition, outage and leave

Cause: a planned leave made callers retry while the table was on its way, and a new home refused until the next second's pledge. A home now asks for its pledge as soon as the record names it, and calls wait at a home (1 s at most) while its record changes. Before: the leave test got refusals; after: none of its calls is refused.

--- /dev/null
+++ b/packages/core/src/__tests__/answerTable.spec.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Ok } from 'ts-results-es';
+import { AnswerTable } from '../answerTable.js';
+import type { CallOutcome } from '../answerTable.js';
+import { mintKey } from '../idempotencyKey.js';
+import { ManualClock } from '../manualClock.js';
+import { createSeededRandom } from '../random.js';
+import { ResultCode } from '../resultCode.js';
+
+const clock = new ManualClock();
+const random = createSeededRandom(3);
+
+function answer(text: string): CallOutcome {
+  return Ok({ status: 200, headers: {}, body: Buffer.from(text) });
+}
+
+function keep(table: AnswerTable, text: string): string {
+  const key = mintKey(clock, random);
+  table.begin(key, Promise.resolve(answer(text)));
+  table.finish(key, answer(text));
+  return key;
+}
+
+test('a full table drops answers but never keys', async () => {
+  const table = new AnswerTable({ maxKeys: 3, maxBytes: 10 });
+  const keys = [keep(table, '123456'), keep(table, '123456'), keep(table, '1')];
+  assert.ok(table.isFull());
+  const outcomes = await Promise.all(keys.map((key) => table.find(key) as CallOutcome));
+  assert.equal(outcomes[0]?.isErr() && outcomes[0].error.code, ResultCode.unknownKeyMayHaveRun);
+  assert.ok(outcomes[1]?.isOk());
+  assert.ok(outcomes[2]?.isOk());
+});
+
+test('the floor forgets old keys, never goes back, and keeps running ones', async () => {
+  const table = new AnswerTable();
+  const old = keep(table, 'old');
+  await clock.advance(1000);
+  const running = mintKey(clock, random);
+  table.begin(running, new Promise(() => {}));
+  const floor = clock.date().getTime();
+  table.raiseFloor(floor);
+  table.raiseFloor(floor - 5000);
+  assert.equal(table.floor, floor);
+  assert.equal(table.find(old), undefined);
+  table.raiseFloor(floor + 5000);
+  assert.ok(table.find(running));
+});
+
+test('a handed over table gives the same answers; running keys become unknown', async () => {
+  const table = new AnswerTable();
+  const key = keep(table, 'paid');
+  const running = mintKey(clock, random);
+  table.begin(running, new Promise(() => {}));
+  const next = new AnswerTable();
+  next.load(JSON.parse(JSON.stringify(table.rows())));
+  assert.deepEqual(next.find(key), answer('paid'));
+  const unknown = next.find(running) as CallOutcome;
+  assert.equal(unknown.isErr() && unknown.error.code, ResultCode.unknownKeyMayHaveRun);
+});
--- /dev/null
+++ b/packages/core/src/__tests__/idempotencyKey.spec.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { deriveKey, mintKey, readKey, shardOf, timeOfKey } from '../idempotencyKey.js';
+import { ManualClock } from '../manualClock.js';
+import { createSeededRandom } from '../random.js';
+import { ResultCode } from '../resultCode.js';
+
+const epoch = new Date('2026-12-04T00:00:00Z');
+
+function mintFrom(seed: number): string {
+  return mintKey(new ManualClock(epoch), createSeededRandom(seed));
+}
+
+test('a minted key is a UUIDv7 that tells its time', () => {
+  const key = mintFrom(1);
+  assert.equal(readKey(key).unwrapOr(''), key);
+  assert.equal(timeOfKey(key), epoch.getTime());
+});
+
+test('a key in upper case is the same key; anything else is malformed', () => {
+  const key = mintFrom(2);
+  assert.equal(readKey(key.toUpperCase()).unwrapOr(''), key);
+  ['', 'x', '8d3c1c6e-6c0e-4f0a-9d3e-0d8f6d1f7c11', `${key}0`].forEach((text) => {
+    const read = readKey(text);
+    assert.equal(read.isErr() && read.error.code, ResultCode.badKeyMalformed);
+  });
+});
+
+test('a derived key is valid, repeatable, of its parent’s time, and differs by call and label', () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.string(), fc.string(), (seed, call, label) => {
+      const parent = mintFrom(seed);
+      const child = deriveKey(parent, call, label);
+      assert.equal(readKey(child).unwrapOr(''), child);
+      assert.equal(timeOfKey(child), timeOfKey(parent));
+      assert.equal(deriveKey(parent.toUpperCase(), call, label), child);
+      assert.notEqual(deriveKey(parent, call, `${label}.`), child);
+      assert.notEqual(deriveKey(parent, `${call}.`, label), child);
+      assert.notEqual(deriveKey(child, call, label), child);
+    }),
+  );
+});
+
+test('keys spread over all shards, and the case of a key makes no difference', () => {
+  const keys = Array.from({ length: 400 }, (_, seed) => mintFrom(seed));
+  assert.equal(new Set(keys.map((key) => shardOf(key, 16))).size, 16);
+  keys.forEach((key) => assert.equal(shardOf(key, 16), shardOf(key.toUpperCase(), 16)));
+});
--- a/packages/core/src/deputyChoice.ts
+++ b/packages/core/src/deputyChoice.ts
@@ -1,11 +1,15 @@
 import type { Clock } from './clock.js';
+import { rendezvous } from './hash.js';
 import type { Directory, Member } from './member.js';
-import { rankByRendezvous } from './rendezvous.js';
 import { holderOf } from './shardRecord.js';
 import type { Holder } from './shardRecord.js';
 
 const AVOID_MS = 60_000;
 
+function rank(subject: string, candidates: Member[]): Member[] {
+  return rendezvous(subject, candidates, (member) => member.incarnation, candidates.length);
+}
+
 /** Chooses daemons of one service for shards. */
 export class DeputyChoice {
   private readonly avoidedUntil = new Map<string, number>();
@@ -29,7 +33,7 @@
       return (this.avoidedUntil.get(incarnation) ?? -Infinity) <= this.clock.now();
     });
     if (home.incarnation !== this.self.incarnation) candidates.push(this.self);
-    const ranked = rankByRendezvous(home.incarnation, candidates, (member) => member.incarnation);
+    const ranked = rank(home.incarnation, candidates);
     const dataCentre = this.dataCentreOf(home);
     const remote = ranked.find((member) => member.dataCentre !== dataCentre);
     const chosen = remote ?? ranked[0];
@@ -40,7 +44,7 @@
   homeFor(shard: number, withoutSelf = false): Member | undefined {
     const candidates = withoutSelf ? this.others() : [...this.others(), this.self];
     const subject = `${this.service}/${shard}`;
-    return rankByRendezvous(subject, candidates, (member) => member.incarnation)[0];
+    return rank(subject, candidates)[0];
   }
 
   /** Changes when the daemons that take work change. */
--- a/packages/core/src/manualClock.ts
+++ b/packages/core/src/manualClock.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from './clock.js';
+import { sleepByTimer } from './timerSleep.js';
 
 interface PendingTimer {
   dueAt: number;
@@ -35,18 +36,8 @@
     return { cancel: () => this.pending.delete(timer) };
   }
 
-  async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    signal?.throwIfAborted();
-    let timer: Timer | undefined;
-    let wake: () => void = () => undefined;
-    await new Promise<void>((resolve) => {
-      wake = () => resolve();
-      timer = this.startTimer(ms, wake);
-      signal?.addEventListener('abort', wake);
-    });
-    timer?.cancel();
-    signal?.removeEventListener('abort', wake);
-    signal?.throwIfAborted();
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return sleepByTimer(this, ms, signal);
   }
 
   /** Moves time forward by `ms`, firing due timers in order and letting their promises settle. */
--- a/packages/core/src/oneShotTiming.ts
+++ b/packages/core/src/oneShotTiming.ts
@@ -18,6 +18,8 @@
   refreshMs: number;
   /** Over how long daemons spread that reading when the members of their service change. */
   refreshSpreadMs: number;
+  /** How long a call waits at its home for a change of the record that is under way. */
+  holdMs: number;
   /** How long a leaving home waits for calls that run. */
   drainMs: number;
 }
@@ -32,7 +34,8 @@
   retentionMs: 600_000,
   refreshMs: 300_000,
   refreshSpreadMs: 20_000,
-  drainMs: 10_000,
+  holdMs: 1000,
+  drainMs: 2000,
 };
 
 /** A moment on both clocks of a host. */
--- a/packages/core/src/shardBook.ts
+++ b/packages/core/src/shardBook.ts
@@ -21,6 +21,8 @@
   createHome: ShardHomeFactory;
   createDeputy: ShardDeputyFactory;
   onClaims: (claims: ShardClaim[]) => void;
+  /** Called when this daemon is home at a new revision, which needs a pledge of its own. */
+  onHome: (home: ShardHome) => void;
 }
 
 const STAGING_MS = 60_000;
@@ -61,7 +63,7 @@
 
   /** Takes in a record read from the store by a request that was sent at `sentAt` (calendar). */
   observe(state: ShardState, sentAt: number): void {
-    const { shard, revision, record } = state;
+    const { shard, revision } = state;
     if (revision <= (this.states.get(shard)?.revision ?? 0)) return;
     this.states.set(shard, state);
     this.keepOrLose(state, sentAt);
@@ -116,17 +118,19 @@
   }
 
   private keepHome(state: ShardState, sentAt: number): void {
-    const own = this.homes.get(state.shard);
-    if (own && own.state.record.handover === state.record.handover) {
-      if (own.state.record.since === state.record.since) {
-        own.adopt(state, sentAt);
-        return;
-      }
-    }
-    own?.lose();
-    this.homes.set(state.shard, this.createHome(state, sentAt));
     const { shard, revision, record } = state;
+    const own = this.homes.get(shard);
+    const home = own && ShardBook.isSameTable(own, state) ? own : this.createHome(state, sentAt);
+    if (home === own) own.adopt(state, sentAt);
+    else own?.lose();
+    this.homes.set(shard, home);
     this.options.logger.log('info', 'home of shard', { shard, revision, since: record.since });
+    this.options.onHome(home);
+  }
+
+  private static isSameTable(home: ShardHome, { record }: ShardState): boolean {
+    const known = home.state.record;
+    return known.handover === record.handover && known.since === record.since;
   }
 
   private createHome(state: ShardState, sentAt: number): ShardHome {
--- a/packages/core/src/shardHome.ts
+++ b/packages/core/src/shardHome.ts
@@ -59,6 +59,8 @@
 
   private suspended = false;
 
+  private readonly held = new Set<() => void>();
+
   private lost = false;
 
   private deputySeenAt: number;
@@ -83,6 +85,7 @@
     }
     this.pledge = { revision, start };
     this.soleAt = Math.max(this.soleAt, asked.calendar);
+    this.releaseHeld();
   }
 
   /** Milliseconds since the deputy last gave a sign. */
@@ -103,6 +106,7 @@
   /** Goes on after a swap that surely did nothing. */
   resume(): void {
     this.suspended = false;
+    this.releaseHeld();
   }
 
   /** Goes on with the next record that names this home; `soleAt` is when its swap was sent. */
@@ -116,6 +120,7 @@
   /** Begins nothing more, ever: the record names another home. */
   lose(): void {
     this.lost = true;
+    this.releaseHeld();
   }
 
   /** True when calls may be begun now. */
@@ -125,6 +130,7 @@
 
   /** The outcome of a key, running it if it was never begun. Never rejects. */
   async execute(key: string, execute: Execute): Promise<CallOutcome> {
+    if (this.isChanging() && !this.table.find(key)) await this.hold();
     const kept = this.table.find(key);
     if (kept) return kept;
     this.table.raiseFloor(this.clock.date().getTime() - this.timing.retentionMs);
@@ -154,6 +160,30 @@
     return { beginWithinMs: () => this.beginWithinMs() };
   }
 
+  /** True while a swap by this home, or the first pledge after one, is awaited. */
+  private isChanging(): boolean {
+    if (this.lost) return false;
+    const { revision, record } = this.state;
+    return this.suspended || (record.deputy !== null && this.pledge?.revision !== revision);
+  }
+
+  /** Waits a short while for the end of a change. */
+  private async hold(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const release = (): void => {
+        this.held.delete(release);
+        resolve();
+      };
+      this.held.add(release);
+      this.clock.startTimer(this.timing.holdMs, release);
+    });
+  }
+
+  private releaseHeld(): void {
+    if (this.isChanging()) return;
+    this.held.forEach((release) => release());
+  }
+
   private async runOnce(key: string, execute: Execute): Promise<CallOutcome> {
     // The key is noted as begun before anything else happens.
     await Promise.resolve();
--- a/packages/core/src/shardKeeper.ts
+++ b/packages/core/src/shardKeeper.ts
@@ -31,7 +31,10 @@
   constructor(private readonly options: ShardKeeperOptions) {
     const { self: member, service, directory, clock, store, logger } = options;
     const self = holderOf(member);
-    this.book = new ShardBook({ ...options, self });
+    const onHome = (home: ShardHome): void => {
+      this.context.tasks.spawn(() => this.pledges.ask([home]));
+    };
+    this.book = new ShardBook({ ...options, self, onHome });
     this.context = {
       options,
       self,
@@ -112,13 +115,7 @@
       this.context.tasks.spawn(() => this.moves.readRecord(shard));
     }
     if (this.leaving || !this.needsDeputy(home)) return;
-    this.context.tasks.spawn(() => this.moves.tryMove(shard, () => this.renewDeputy(home)));
-  }
-
-  private async renewDeputy(home: ShardHome): Promise<void> {
-    await this.moves.replaceDeputy(home);
-    // Until the new deputy has pledged, calls are refused.
-    if (this.book.homes.get(home.state.shard) === home) await this.pledges.ask([home]);
+    this.context.tasks.spawn(() => this.moves.tryMove(shard, () => this.moves.replaceDeputy(home)));
   }
 
   private needsDeputy(home: ShardHome): boolean {
--- /dev/null
+++ b/packages/core/src/timerSleep.ts
@@ -0,0 +1,22 @@
+import type { Clock } from './clock.js';
+
+/** A sleep made of a clock's timer; rejects with the signal's reason when aborted. */
+export async function sleepByTimer(
+  clock: Pick<Clock, 'startTimer'>,
+  ms: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  signal?.throwIfAborted();
+  let release = (): void => undefined;
+  await new Promise<void>((resolve) => {
+    const onAbort = (): void => resolve();
+    const timer = clock.startTimer(ms, resolve);
+    signal?.addEventListener('abort', onAbort, { once: true });
+    release = () => {
+      timer.cancel();
+      signal?.removeEventListener('abort', onAbort);
+    };
+  });
+  release();
+  signal?.throwIfAborted();
+}
--- /dev/null
+++ b/playground/src/__tests__/oneShotFleet.spec.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ResultCode } from '@shallotcroft/core';
+import type { CallOutcome } from '@shallotcroft/core';
+import { OneShotFleet } from '../oneShotFleet.js';
+import type { FleetOptions } from '../oneShotFleet.js';
+
+const SETTLE_MS = 60_000;
+
+async function createFleet(options: Partial<FleetOptions> = {}): Promise<OneShotFleet> {
+  const fleet = new OneShotFleet({ shards: 8, ...options });
+  fleet.add('hobart1', 'hobart');
+  fleet.add('hobart2', 'hobart');
+  fleet.add('burnie1', 'burnie');
+  fleet.add('burnie2', 'burnie');
+  await fleet.advance(SETTLE_MS);
+  return fleet;
+}
+
+function codeOf(outcome: CallOutcome): number {
+  return outcome.isOk() ? ResultCode.ok : outcome.error.code;
+}
+
+async function callAll(fleet: OneShotFleet, keys: string[], ms = 1000): Promise<number[]> {
+  const calls = Promise.all(keys.map((key) => fleet.call(key)));
+  await fleet.advance(ms);
+  return (await calls).map(codeOf);
+}
+
+function mintMany(fleet: OneShotFleet, count: number): string[] {
+  return Array.from({ length: count }, () => fleet.mint());
+}
+
+test('every shard gets a home, and a deputy in another data centre', async () => {
+  const fleet = await createFleet();
+  const shards = [...fleet.daemons.values()].flatMap(({ oneShot }) => oneShot.status());
+  assert.deepEqual(shards.map(({ shard }) => shard).sort(), [0, 1, 2, 3, 4, 5, 6, 7]);
+  fleet.daemons.forEach(({ member, oneShot }) => {
+    oneShot.status().forEach(({ deputy, serving }) => {
+      assert.notEqual(deputy?.slice(0, 6), member.dataCentre);
+      assert.ok(serving);
+    });
+  });
+});
+
+test('a key that is retried gets the answer of its one execution', async () => {
+  const fleet = await createFleet();
+  const key = fleet.mint();
+  assert.deepEqual(await callAll(fleet, [key, key, key]), [0, 0, 0]);
+  assert.deepEqual(await callAll(fleet, [key]), [0]);
+  assert.equal(fleet.executionsOf(key), 1);
+});
+
+test('killing a home: old keys are unknown, new ones run, none twice', async () => {
+  const fleet = await createFleet({ workMs: 200 });
+  const keys = mintMany(fleet, 40);
+  const before = await callAll(fleet, keys);
+  assert.ok(before.every((code) => code === ResultCode.ok));
+  const killed = fleet.homeOf(keys[0] as string) as string;
+  const held = keys.filter((key) => fleet.homeOf(key) === killed);
+  fleet.kill(killed);
+  await fleet.advance(8000);
+  const after = await callAll(fleet, held);
+  assert.ok(after.every((code) => code === ResultCode.unknownKeyMayHaveRun));
+  const fresh = await callAll(fleet, mintMany(fleet, 40));
+  assert.ok(fresh.every((code) => code === ResultCode.ok));
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('a home that is paused past its takeover begins nothing when it wakes', async () => {
+  const fleet = await createFleet({ queueMs: 100 });
+  const probe = fleet.mint();
+  const paused = fleet.homeOf(probe) as string;
+  const keys = mintMany(fleet, 40).filter((key) => fleet.homeOf(key) === paused);
+  const held = keys.map((key) => fleet.attempt(paused, key));
+  await fleet.advance(50);
+  fleet.daemon(paused).clock.pause();
+  await fleet.advance(10_000);
+  assert.ok(keys.every((key) => fleet.homeOf(key) !== paused));
+  const retried = await callAll(fleet, keys);
+  assert.ok(retried.every((code) => code === ResultCode.unknownKeyMayHaveRun));
+  fleet.daemon(paused).clock.resume();
+  await fleet.advance(5000);
+  const woken = (await Promise.all(held)).map(codeOf);
+  assert.ok(woken.every((code) => code === ResultCode.notRunHomeUnavailable));
+  assert.deepEqual(fleet.executions, []);
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('home and deputy cut off from one another: one of them goes on, never both', async () => {
+  const fleet = await createFleet();
+  const probe = fleet.mint();
+  const home = fleet.homeOf(probe) as string;
+  const { deputy } = fleet.daemon(home).oneShot.status()[0] as { deputy: string };
+  fleet.cut(home, deputy.split('#')[0] as string);
+  const all = [...fleet.daemons.keys()];
+  for (let second = 0; second < 12; second++) {
+    const key = fleet.mint();
+    all.forEach((name) => fleet.attempt(name, key));
+    await fleet.advance(1000);
+  }
+  const fresh = await callAll(fleet, mintMany(fleet, 40));
+  assert.ok(fresh.every((code) => code === ResultCode.ok));
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('a home cut off from all daemons and the store refuses, and says so truthfully', async () => {
+  const fleet = await createFleet();
+  const probe = fleet.mint();
+  const home = fleet.homeOf(probe) as string;
+  const shard0 = mintMany(fleet, 40).filter((key) => fleet.homeOf(key) === home);
+  [...fleet.daemons.keys()]
+    .filter((name) => name !== home)
+    .forEach((name) => fleet.cut(home, name));
+  fleet.daemon(home).store.setDown(true);
+  await fleet.advance(10_000);
+  const before = await Promise.all(shard0.map((key) => fleet.attempt(home, key)));
+  assert.ok(before.map(codeOf).every((code) => code === ResultCode.notRunHomeUnavailable));
+  const late = await Promise.all(mintMany(fleet, 40).map((key) => fleet.attempt(home, key)));
+  assert.ok(late.map(codeOf).every((code) => code === ResultCode.notHome));
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('an outage of the store for hours stops no calls', async () => {
+  const fleet = await createFleet();
+  fleet.setStoreDown(true);
+  for (let hour = 0; hour < 3; hour++) {
+    await fleet.advance(3_600_000);
+    const codes = await callAll(fleet, mintMany(fleet, 20));
+    assert.ok(codes.every((code) => code === ResultCode.ok));
+  }
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('a planned leave under load loses no answer and runs nothing twice', async () => {
+  const fleet = await createFleet({ workMs: 300 });
+  const early = mintMany(fleet, 40);
+  await callAll(fleet, early);
+  const leaver = fleet.homeOf(early[0] as string) as string;
+  const calls: Promise<CallOutcome>[] = [];
+  for (let step = 0; step < 40; step++) {
+    calls.push(fleet.call(fleet.mint()));
+    if (step === 10) {
+      fleet.setState(leaver, 'draining');
+      const { oneShot } = fleet.daemon(leaver);
+      oneShot.leave().then(async () => {
+        await oneShot.stop();
+        fleet.kill(leaver);
+      });
+    }
+    await fleet.advance(50);
+  }
+  await fleet.advance(2000);
+  assert.equal(fleet.daemon(leaver).alive, false);
+  assert.ok((await Promise.all(calls)).map(codeOf).every((code) => code === ResultCode.ok));
+  const again = await callAll(fleet, early);
+  assert.ok(again.every((code) => code === ResultCode.ok));
+  assert.equal(fleet.executions.length, early.length + calls.length);
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('a key sent through every daemon at once, with a lost store answer and a kill, runs once', async () => {
+  const fleet = await createFleet({ workMs: 50 });
+  const all = [...fleet.daemons.keys()];
+  const first = fleet.homeOf(fleet.mint()) as string;
+  for (let step = 0; step < 60; step++) {
+    const key = fleet.mint();
+    all.filter((name) => name !== first || step < 20).forEach((name) => fleet.attempt(name, key));
+    fleet.call(key);
+    if (step === 20) {
+      fleet.daemons.forEach(({ store }) => {
+        store.loseNextAnswer('late');
+        store.loseNextAnswer('early');
+      });
+      fleet.kill(first);
+    }
+    if (step === 40) fleet.daemons.forEach(({ store }) => store.landLateWrites());
+    await fleet.advance(250);
+  }
+  const fresh = await callAll(fleet, mintMany(fleet, 20));
+  assert.ok(fresh.every((code) => code === ResultCode.ok));
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('home and deputy both gone: the shard refuses until the home comes back at its place', async () => {
+  const fleet = new OneShotFleet({ shards: 1 });
+  fleet.add('hobart1', 'hobart');
+  fleet.add('burnie1', 'burnie');
+  await fleet.advance(SETTLE_MS);
+  const key = fleet.mint();
+  assert.deepEqual(await callAll(fleet, [key]), [ResultCode.ok]);
+  const home = fleet.homeOf(key) as string;
+  fleet.kill('hobart1');
+  fleet.kill('burnie1');
+  fleet.add('launceston1', 'launceston');
+  await fleet.advance(SETTLE_MS);
+  assert.deepEqual(await callAll(fleet, [fleet.mint()]), [ResultCode.unknownKeyMayHaveRun]);
+  fleet.add(home, home.slice(0, 6));
+  await fleet.advance(SETTLE_MS);
+  assert.deepEqual(await callAll(fleet, [key]), [ResultCode.unknownKeyMayHaveRun]);
+  assert.deepEqual(await callAll(fleet, [fleet.mint()]), [ResultCode.ok]);
+  assert.deepEqual(fleet.violations(), []);
+});
