feat(core): HTTP transport that gives whole answers or numbered errors

Cause: a caller must get its own whole answer or a clear error, and "not run" only where no byte was sent; the provisional transport reused what undici's agent gave it and could tell none of this.

Each endpoint has its own set of single-exchange connections, taken last in, first out, with a bound on number, waiting calls and idle age. "Not run" is given only before undici announces the start of the request. Length or chunk end is checked; an answer that ends with its connection is refused. A request id is repeated by daemons and an answer to another id is dropped and counted. A connection that failed, timed out or was cancelled is destroyed; those that were idle since before a silent request are destroyed with it.

Ruled out: undici's Pool (no hold on one connection, so a silent one cannot take its idle neighbours along, and a swap of the whole pool would reconnect at every deadline under overload); TCP keep-alive (counts idle time in minutes and Node has no user timeout); a second probing connection (says nothing about the first).

--- /dev/null
+++ b/packages/core/src/__tests__/interimAnswers.spec.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { HttpCallTransport } from '../httpCallTransport.js';
+import { closeHttp, listenHttp } from '../httpServer.js';
+import type { HttpAnswer } from '../httpServer.js';
+import { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from '../interimAnswers.js';
+import { ManualClock } from '../manualClock.js';
+import { ResultCode } from '../resultCode.js';
+
+const DEADLINE_MS = 10_000;
+const SLOW_MS = 3 * MAX_SILENCE_MS;
+
+/** Lets bytes that were written reach the other end: a whole round trip on another connection. */
+async function passTime(clock: ManualClock, ms: number, roundTrip: () => Promise<unknown>) {
+  for (let passed = 0; passed < ms; passed += INTERIM_INTERVAL_MS) {
+    await clock.advance(INTERIM_INTERVAL_MS);
+    await roundTrip();
+  }
+}
+
+async function callSlowServer(withInterim: boolean) {
+  const clock = new ManualClock();
+  const answer: HttpAnswer = { status: 200, headers: {}, body: Buffer.from('done') };
+  let finish = (): void => {};
+  const { server, port } = await listenHttp('127.0.0.1', 0, 1000, async (message) => {
+    if (message.path === '/slow') {
+      await new Promise<void>((resolve) => {
+        finish = resolve;
+      });
+    }
+    return answer;
+  });
+  const interim = withInterim ? startInterimAnswers(server, clock) : undefined;
+  const transport = new HttpCallTransport({
+    clock,
+    incarnation: 'test',
+    silenceMs: MAX_SILENCE_MS,
+    echoRequired: true,
+  });
+  const send = (path: string) =>
+    transport.send(
+      { address: '127.0.0.1', port },
+      path,
+      { call: 'catalogue.search', headers: {}, body: Buffer.alloc(0) },
+      { timeoutMs: DEADLINE_MS, maxAnswerBytes: 1000, signal: new AbortController().signal },
+    );
+  const slow = send('/slow');
+  await passTime(clock, SLOW_MS, () => send('/quick'));
+  finish();
+  const result = await slow;
+  interim?.stop();
+  await transport.close();
+  await closeHttp(server);
+  return result;
+}
+
+test('a slow server that says it is at work is waited for', async () => {
+  const result = await callSlowServer(true);
+  assert.equal(result.unwrap().body.toString(), 'done');
+});
+
+test('a server that says nothing is taken for a silent connection', async () => {
+  const result = await callSlowServer(false);
+  assert.equal(result.unwrapErr().code, ResultCode.unknownConnectionLost);
+});
--- /dev/null
+++ b/packages/core/src/endpointConnections.ts
@@ -0,0 +1,158 @@
+import { Client } from 'undici';
+import type { Endpoint } from './call.js';
+import type { Clock } from './clock.js';
+import type { ConnectionFate, HttpExchange } from './httpExchange.js';
+import { ResultCode } from './resultCode.js';
+
+/** Bounds of the connections to one endpoint. */
+export interface ConnectionBounds {
+  /** Most connections that are open at once. */
+  connections: number;
+  /** Most calls that wait for a connection. */
+  waiting: number;
+  /** Longest wait for a new connection, in milliseconds. */
+  connectTimeoutMs: number;
+  /** Longest time that a connection is kept without use, in milliseconds. */
+  idleMs: number;
+}
+
+/** Connections that were given up, by reason. */
+export interface ConnectionCounts {
+  /** An answer to another request came; it was dropped. */
+  foreignAnswers: number;
+  /** Nothing came for too long. */
+  silent: number;
+  /** Lost, cancelled or at fault. */
+  broken: number;
+}
+
+interface IdleConnection {
+  connection: Client;
+  since: number;
+}
+
+interface WaitingExchange {
+  path: string;
+  exchange: HttpExchange;
+}
+
+/** The connections to one endpoint; each carries one exchange at a time. */
+export class EndpointConnections {
+  // The last one used is the first one taken, so that the others grow old and are closed.
+  private readonly idle: IdleConnection[] = [];
+
+  private readonly waiting: WaitingExchange[] = [];
+
+  private readonly open = new Set<Client>();
+
+  private lastUsedAt: number;
+
+  constructor(
+    private readonly to: Endpoint,
+    private readonly bounds: ConnectionBounds,
+    private readonly clock: Clock,
+    private readonly counts: ConnectionCounts,
+  ) {
+    this.lastUsedAt = clock.now();
+  }
+
+  /** Starts an exchange on an idle connection, on a new one, or when one becomes free. */
+  start(path: string, exchange: HttpExchange): void {
+    this.lastUsedAt = this.clock.now();
+    const connection = this.takeIdle() ?? this.connect();
+    if (connection) {
+      this.run(connection, path, exchange);
+      return;
+    }
+    if (this.waiting.length < this.bounds.waiting) {
+      this.waiting.push({ path, exchange });
+      return;
+    }
+    const message = `all ${this.bounds.connections} connections are in use`;
+    exchange.fail(ResultCode.notRunConnect, message, 'broken');
+  }
+
+  /** True when nothing was sent for so long that the connections are not needed. */
+  isUnused(): boolean {
+    const busy = this.open.size > this.idle.length;
+    return !busy && this.clock.now() - this.lastUsedAt > this.bounds.idleMs;
+  }
+
+  /** Ends all connections at once. */
+  close(): void {
+    [...this.open].forEach((connection) => this.drop(connection));
+    this.idle.length = 0;
+  }
+
+  private run(connection: Client, path: string, exchange: HttpExchange): void {
+    exchange.start(connection, path, (fate) => this.release(connection, exchange, fate));
+  }
+
+  private release(connection: Client, exchange: HttpExchange, fate: ConnectionFate): void {
+    if (fate === 'reusable') {
+      if (this.open.has(connection)) this.idle.push({ connection, since: this.clock.now() });
+    } else {
+      this.count(fate);
+      this.drop(connection);
+    }
+    if (fate === 'silent') this.dropIdleSince(exchange.sentAt ?? 0);
+    this.startNext();
+  }
+
+  private count(fate: ConnectionFate): void {
+    if (fate === 'foreignAnswer') this.counts.foreignAnswers += 1;
+    else if (fate === 'silent') this.counts.silent += 1;
+    else this.counts.broken += 1;
+  }
+
+  /** What made one connection silent has often met the others that were idle at that time. */
+  private dropIdleSince(time: number): void {
+    const old = this.idle.filter(({ since }) => since <= time);
+    old.forEach((entry) => {
+      this.idle.splice(this.idle.indexOf(entry), 1);
+      this.drop(entry.connection);
+    });
+  }
+
+  private startNext(): void {
+    for (;;) {
+      const next = this.waiting[0];
+      if (!next) return;
+      if (next.exchange.ended) {
+        this.waiting.shift();
+        continue;
+      }
+      const connection = this.takeIdle() ?? this.connect();
+      if (!connection) return;
+      this.waiting.shift();
+      this.run(connection, next.path, next.exchange);
+    }
+  }
+
+  private takeIdle(): Client | undefined {
+    const oldest = this.clock.now() - this.bounds.idleMs;
+    for (;;) {
+      const entry = this.idle.pop();
+      if (!entry || entry.since >= oldest) return entry?.connection;
+      this.drop(entry.connection);
+    }
+  }
+
+  private connect(): Client | undefined {
+    if (this.open.size >= this.bounds.connections) return undefined;
+    const connection = new Client(`http://${this.to.address}:${this.to.port}`, {
+      pipelining: 1,
+      connect: { timeout: this.bounds.connectTimeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: this.bounds.idleMs,
+    });
+    this.open.add(connection);
+    return connection;
+  }
+
+  private drop(connection: Client): void {
+    if (!this.open.delete(connection)) return;
+    connection.destroy().catch(() => {});
+  }
+}
--- /dev/null
+++ b/packages/core/src/httpExchange.ts
@@ -0,0 +1,231 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { Dispatcher } from 'undici';
+import type { CallAnswer, CallRequest, SendBounds } from './call.js';
+import { CallHeader } from './callHeaders.js';
+import type { Clock, Timer } from './clock.js';
+import { endToEndHeaders } from './endToEndHeaders.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import { ResultCode } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
+
+// Lets data that has already arrived be read before a connection is called silent.
+const SILENCE_GRACE_MS = 20;
+const FIRST_FINAL_STATUS = 200;
+const statusesWithoutBody = new Set([204, 304]);
+
+/** What the exchanges of one transport have in common. */
+export interface ExchangeSettings {
+  clock: Clock;
+  /** Longest silence before the other end is asked on a new connection; undefined: no such bound. */
+  silenceMs: number | undefined;
+  /** Whether every answer must repeat the id of its request. */
+  echoRequired: boolean;
+}
+
+/** How an exchange left its connection. */
+export type ConnectionFate = 'reusable' | 'broken' | 'silent' | 'foreignAnswer';
+
+/** One request and its answer on one connection. */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+  /** When the request was written, in milliseconds; undefined while no byte was sent. */
+  sentAt: number | undefined;
+
+  /** True when the result was given. */
+  ended = false;
+
+  private onEnd: ((fate: ConnectionFate) => void) | undefined;
+
+  private readonly deadlineAt: number;
+
+  private heardAt = 0;
+
+  private suspected = false;
+
+  private status = 0;
+
+  private headers: CallAnswer['headers'] = {};
+
+  private expectedBytes: number | undefined;
+
+  private receivedBytes = 0;
+
+  private chunks: Buffer[] = [];
+
+  private timer: Timer;
+
+  /** Ends the exchange because its answer is no longer wanted. */
+  readonly cancel = (): void => {
+    if (this.sentAt === undefined) {
+      this.fail(ResultCode.notRunCancelled, 'cancelled before it was sent', 'broken');
+    } else {
+      this.fail(ResultCode.unknownCancelled, 'cancelled while the answer was awaited', 'broken');
+    }
+  };
+
+  constructor(
+    private readonly id: string,
+    private readonly request: CallRequest,
+    private readonly bounds: SendBounds,
+    private readonly settings: ExchangeSettings,
+    private readonly resolve: (result: Result<CallAnswer, Failure>) => void,
+  ) {
+    const { clock } = settings;
+    this.deadlineAt = clock.now() + bounds.timeoutMs;
+    const firstCheckMs = Math.min(bounds.timeoutMs, settings.silenceMs ?? Infinity);
+    this.timer = clock.startTimer(firstCheckMs, () => this.onTimer());
+    bounds.signal.addEventListener('abort', this.cancel, { once: true });
+  }
+
+  /** Goes on `connection`; `onEnd` is called once, after the result was given. */
+  start(connection: Dispatcher, path: string, onEnd: (fate: ConnectionFate) => void): void {
+    this.onEnd = onEnd;
+    const headers = { ...this.request.headers, [CallHeader.request]: this.id };
+    connection.dispatch({ method: 'POST', path, headers, body: this.request.body }, this);
+  }
+
+  /** Ends the exchange with a failure; nothing happens when it is over already. */
+  fail(code: ResultNumber, message: string, fate: ConnectionFate): void {
+    if (this.ended) return;
+    this.end(Err(createFailure(code, message)), fate);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.ended) {
+      controller.abort(new Error('the call has ended'));
+      return;
+    }
+    this.sentAt = this.settings.clock.now();
+    this.heardAt = this.sentAt;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    this.hear();
+    if (this.ended || status < FIRST_FINAL_STATUS) return;
+    if (!this.isOwn(headers[CallHeader.request])) {
+      const message = 'the connection brought the answer to another request; it was dropped';
+      this.fail(ResultCode.unknownConnectionLost, message, 'foreignAnswer');
+      return;
+    }
+    this.status = status;
+    this.expectLength(headers);
+    this.headers = endToEndHeaders(headers);
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.hear();
+    if (this.ended) return;
+    this.receivedBytes += chunk.length;
+    if (this.receivedBytes > this.bounds.maxAnswerBytes) this.failTooLarge();
+    else this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.ended) return;
+    if (this.expectedBytes !== undefined && this.expectedBytes !== this.receivedBytes) {
+      this.failTruncated(`${this.receivedBytes} of ${this.expectedBytes} bytes came`);
+      return;
+    }
+    const { chunks } = this;
+    const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+    this.end(Ok({ status: this.status, headers: this.headers, body }), 'reusable');
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.sentAt === undefined) {
+      this.fail(ResultCode.notRunConnect, `could not be sent: ${error.message}`, 'broken');
+    } else if (this.status !== 0) {
+      this.failTruncated(error.message);
+    } else {
+      const message = `the connection was lost before an answer came: ${error.message}`;
+      this.fail(ResultCode.unknownConnectionLost, message, 'broken');
+    }
+  }
+
+  private end(result: Result<CallAnswer, Failure>, fate: ConnectionFate): void {
+    this.ended = true;
+    this.timer.cancel();
+    this.bounds.signal.removeEventListener('abort', this.cancel);
+    this.chunks = [];
+    this.resolve(result);
+    this.onEnd?.(fate);
+  }
+
+  private isOwn(echo: string | string[] | undefined): boolean {
+    if (echo === undefined) return !this.settings.echoRequired;
+    return echo === this.id;
+  }
+
+  /** An answer that ends with its connection has no end that can be checked. */
+  private expectLength(headers: IncomingHttpHeaders): void {
+    const length = headers['content-length'];
+    if (length !== undefined) {
+      this.expectedBytes = Number(length);
+      if (this.expectedBytes > this.bounds.maxAnswerBytes) this.failTooLarge();
+      return;
+    }
+    const chunked = headers['transfer-encoding'] === 'chunked';
+    if (chunked || statusesWithoutBody.has(this.status)) return;
+    this.failTruncated('it carries neither a length nor chunks');
+  }
+
+  private failTooLarge(): void {
+    const message = `the answer is larger than ${this.bounds.maxAnswerBytes} bytes`;
+    this.fail(ResultCode.unknownAnswerTooLarge, message, 'broken');
+  }
+
+  private failTruncated(why: string): void {
+    this.fail(ResultCode.unknownAnswerTruncated, `the answer is not whole: ${why}`, 'broken');
+  }
+
+  private hear(): void {
+    this.heardAt = this.settings.clock.now();
+    this.suspected = false;
+  }
+
+  private onTimer(): void {
+    const { clock, silenceMs } = this.settings;
+    const now = clock.now();
+    if (now >= this.deadlineAt) {
+      this.failTimeout();
+      return;
+    }
+    const silentMs = now - this.heardAt;
+    if (silenceMs === undefined) {
+      this.restartTimer(Infinity);
+    } else if (this.sentAt === undefined) {
+      this.restartTimer(silenceMs);
+    } else if (silentMs < silenceMs) {
+      this.restartTimer(silenceMs - silentMs);
+    } else if (!this.suspected) {
+      this.suspected = true;
+      this.restartTimer(SILENCE_GRACE_MS);
+    } else {
+      const message = `the connection was silent for ${silenceMs} ms`;
+      this.fail(ResultCode.unknownConnectionLost, message, 'silent');
+    }
+  }
+
+  private failTimeout(): void {
+    const { timeoutMs } = this.bounds;
+    if (this.sentAt === undefined) {
+      this.fail(ResultCode.notRunConnect, `no connection within ${timeoutMs} ms`, 'broken');
+    } else {
+      this.fail(ResultCode.unknownTimeout, `no whole answer within ${timeoutMs} ms`, 'silent');
+    }
+  }
+
+  /** Waits `ms` milliseconds, or until the deadline if that is earlier. */
+  private restartTimer(ms: number): void {
+    const { clock } = this.settings;
+    const remainingMs = Math.max(0, this.deadlineAt - clock.now());
+    this.timer.cancel();
+    this.timer = clock.startTimer(Math.min(ms, remainingMs), () => this.onTimer());
+  }
+}
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -1,7 +1,8 @@
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
+import { CallHeader } from './callHeaders.js';
 
 /** A whole HTTP request. */
 export interface HttpMessage {
@@ -59,7 +60,12 @@
 
 function writeAnswer(response: ServerResponse, answer: HttpAnswer): void {
   if (response.destroyed) return;
-  response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length });
+  const headers: OutgoingHttpHeaders = { ...answer.headers, 'content-length': answer.body.length };
+  // By the id of its request the other end knows that the answer is its own.
+  const id = response.req.headers[CallHeader.request];
+  if (id === undefined) delete headers[CallHeader.request];
+  else headers[CallHeader.request] = id;
+  response.writeHead(answer.status, headers);
   response.end(answer.body);
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -164,3 +164,8 @@
 export { createBootstrapKeeper, readBootstrapAddresses } from './bootstrapAddresses.js';
 export type { BootstrapKeeper, BootstrapKeeperOptions } from './bootstrapAddresses.js';
 export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './storeKeys.js';
+export { HttpCallTransport, defaultConnectionBounds } from './httpCallTransport.js';
+export type { HttpTransportSettings } from './httpCallTransport.js';
+export type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
+export { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from './interimAnswers.js';
+export type { InterimAnswers } from './interimAnswers.js';
