feat(daemon): store, configuration in force, homes and the whole-answer transport wired in

Configuration comes from the store through few watchers; at-most-once calls go to the home of their key; calls between daemons go over the transport that checks whole answers. A daemon announces its target only once a configuration is in force. What is refused at the caller's side is 'not run' for a keyed call only when no other attempt can carry the key.

--- a/packages/core/src/call.ts
+++ b/packages/core/src/call.ts
@@ -10,6 +10,8 @@
   call: string;
   headers: CallHeaders;
   body: Buffer;
+  /** True when the key was minted for this request, so that no other attempt can carry it. */
+  keyIsNew?: boolean;
 }
 
 /** A whole answer of a call. */
--- a/packages/core/src/callHeaders.ts
+++ b/packages/core/src/callHeaders.ts
@@ -24,6 +24,8 @@
   shedLevel: 'x-shallotcroft-shed-level',
   /** Id of the request between two daemons; echoed by the answer. */
   request: 'x-shallotcroft-request',
+  /** Calendar time of the host, in milliseconds since 1970, after which the call must not begin. */
+  latestStart: 'x-shallotcroft-latest-start-ms',
   /** Set by a target that refuses before it starts work. */
   refused: 'x-shallotcroft-refused',
 } as const;
--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -11,6 +11,7 @@
 import { HOP_COST_MS, deadlineAt, parseDeadlineMs } from './deadline.js';
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
+import { deriveKey, readKey } from './idempotencyKey.js';
 import { ResultCode } from './resultCode.js';
 import type { RunningCall, RunningCalls } from './runningCalls.js';
 
@@ -21,6 +22,8 @@
   policy: CallPolicy;
   context: CallContext;
   allowance: AttemptAllowance;
+  /** True when no attempt outside this call can carry the same key. */
+  keyIsSole: boolean;
   /** Aborted when the parent call is no longer wanted; a root has none. */
   signal: AbortSignal | undefined;
   /** Returns what was not spent to the parent; to be called once, at the end. */
@@ -32,8 +35,6 @@
   clock: Clock;
   configuration: () => Configuration | undefined;
   runningCalls: RunningCalls;
-  /** Key of a child call, derived from its parent's. */
-  childKey: (parentKey: string, call: string, label: string) => string;
 }
 
 function failed(code: (typeof ResultCode)[keyof typeof ResultCode], message: string) {
@@ -58,8 +59,13 @@
     return Ok(policy);
   }
 
-  function requireKey(policy: CallPolicy, key: string | undefined): Result<void, Failure> {
-    if (policy.execution !== 'atMostOnce' || key) return Ok(undefined);
+  /** The key in lower case, undefined for a call that needs none. */
+  function checkKey(
+    policy: CallPolicy,
+    key: string | undefined,
+  ): Result<string | undefined, Failure> {
+    if (key) return readKey(key);
+    if (policy.execution !== 'atMostOnce') return Ok(undefined);
     const message = `${policy.name} may run at most once: send a UUIDv7 in the header ${CallHeader.key}, the same one with each retry`;
     return failed(ResultCode.badKeyMissing, message);
   }
@@ -71,19 +77,25 @@
     if (caller.isErr()) return caller;
     const patience = parseDeadlineMs(request.headers[CallHeader.deadline]);
     if (patience.isErr()) return patience;
-    const key = request.headers[CallHeader.key];
-    const keyed = requireKey(policy, key);
-    if (keyed.isErr()) return keyed;
+    const key = checkKey(policy, request.headers[CallHeader.key]);
+    if (key.isErr()) return key;
     const patienceMs = Math.min(policy.deadlineMs, patience.value ?? policy.deadlineMs);
     const context: CallContext = {
       root: root.value,
       caller: caller.value,
       importance: policy.importance,
       deadlineAt: deadlineAt(clock.now(), patienceMs),
-      key,
+      key: key.value,
     };
     const allowance = new AttemptAllowance(policy.attemptTokens, policy.children.length);
-    return Ok({ policy, context, allowance, signal: undefined, settle: () => undefined });
+    return Ok({
+      policy,
+      context,
+      allowance,
+      keyIsSole: request.keyIsNew ?? false,
+      signal: undefined,
+      settle: () => undefined,
+    });
   }
 
   /** Name of a child within one execution of its parent, the same when the parent runs again. */
@@ -113,9 +125,10 @@
     if (label.isErr()) return label;
     const { context } = parent;
     const own = request.headers[CallHeader.key];
-    const key = own ?? (context.key && options.childKey(context.key, policy.name, label.value));
-    const keyed = requireKey(policy, key);
-    if (keyed.isErr()) return keyed;
+    const derived = context.key && deriveKey(context.key, policy.name, label.value);
+    const key = checkKey(policy, own ?? derived);
+    if (key.isErr()) return key;
+    const firstOfItsName = parent.children.get(policy.name) === 1;
     const grant = parent.allowance.grantForChild(`${policy.name}#${label.value}`);
     if (!grant) {
       const message = `no attempt is left for running ${policy.name} again below ${parent.policy.name}`;
@@ -126,8 +139,14 @@
     const until = context.deadlineAt - HOP_COST_MS;
     return Ok({
       policy,
-      context: { ...context, key, deadlineAt: deadlineAt(clock.now(), policy.deadlineMs, until) },
+      context: {
+        ...context,
+        key: key.value,
+        deadlineAt: deadlineAt(clock.now(), policy.deadlineMs, until),
+      },
       allowance,
+      // A parent that runs at most once makes each derived key once.
+      keyIsSole: !own && firstOfItsName && parent.policy.execution === 'atMostOnce',
       signal: parent.signal,
       settle: () => {
         parent.below.end();
--- a/packages/core/src/callProgress.ts
+++ b/packages/core/src/callProgress.ts
@@ -13,6 +13,9 @@
 
   readonly allowance: AttemptAllowance;
 
+  /** True when no attempt outside this call can carry the same key. */
+  readonly keyIsSole: boolean;
+
   private readonly triedMembers = new Set<string>();
 
   private attemptCount = 0;
@@ -27,6 +30,7 @@
     this.policy = origin.policy;
     this.context = origin.context;
     this.allowance = origin.allowance;
+    this.keyIsSole = origin.keyIsSole;
   }
 
   /** Attempts made so far. */
--- a/packages/core/src/embeddedCaller.ts
+++ b/packages/core/src/embeddedCaller.ts
@@ -1,4 +1,3 @@
-import { v7 as uuidv7 } from 'uuid';
 import type { CallAnswer, CallHeaders, CallTransport } from './call.js';
 import { CallHeader } from './callHeaders.js';
 import { createCallerShedding } from './callerShedding.js';
@@ -7,8 +6,10 @@
 import { createDirectoryClient } from './directoryClient.js';
 import type { DirectoryClient } from './directoryClient.js';
 import { createGateway } from './gateway.js';
+import { createHomeLocator } from './homeLocator.js';
 import { createHistograms } from './histograms.js';
 import type { Histograms } from './histograms.js';
+import { mintKey } from './idempotencyKey.js';
 import type { Logger } from './logger.js';
 import type { PeerAddress, PeerCaller } from './peer.js';
 import type { RandomSource } from './random.js';
@@ -17,6 +18,7 @@
 import { createSupervisor } from './supervisor.js';
 import { createTargetChooser } from './targetChooser.js';
 import { createTargetRouter } from './targetRouter.js';
+import { createTargetSubsets } from './targetSubset.js';
 
 const START_ATTEMPTS = 10;
 const START_RETRY_MS = 200;
@@ -60,10 +62,12 @@
   stop(): Promise<void>;
 }
 
-function headersOf(caller: string, options: CallOptions): CallHeaders {
-  const headers: CallHeaders = { ...options.headers, [CallHeader.caller]: caller };
-  // The library mints a key, so that its own retries are recognised.
-  headers[CallHeader.key] = options.key ?? uuidv7();
+function headersOf(
+  { name, clock, random }: EmbeddedCallerOptions,
+  options: CallOptions,
+): CallHeaders {
+  const headers: CallHeaders = { ...options.headers, [CallHeader.caller]: name };
+  headers[CallHeader.key] = options.key ?? mintKey(clock, random);
   if (options.timeoutMs !== undefined) {
     headers[CallHeader.deadline] = String(Math.floor(options.timeoutMs));
   }
@@ -73,7 +77,6 @@
 /** Makes a caller; it learns targets and configuration from the bootstrap daemons. */
 export function createEmbeddedCaller(options: EmbeddedCallerOptions): EmbeddedCaller {
   const { clock, random, transport } = options;
-  const neverAborted = new AbortController().signal;
   const supervisor = createSupervisor(options);
   const directory = createDirectoryClient(options);
   const histograms = createHistograms();
@@ -82,19 +85,22 @@
     random,
     transport,
     router: createTargetRouter({
-      directory,
+      subsets: createTargetSubsets(
+        { host: options.name, dataCentre: options.dataCentre },
+        directory,
+      ),
+      homes: createHomeLocator(directory),
+      configuration: directory.configuration,
       chooser: createTargetChooser({ dataCentre: options.dataCentre, random }),
       shedding: createCallerShedding(clock, random),
     }),
     retryBudget: new RetryBudget(clock),
     histograms,
     logger: options.logger,
-    incarnation: uuidv7(),
     originOf: createCallOrigins({
       clock,
       configuration: directory.configuration,
       runningCalls: createRunningCalls(),
-      childKey: (parentKey) => parentKey,
     }),
   });
 
@@ -115,8 +121,10 @@
       supervisor.runTask('directory', directory.run);
     },
     call: (name, body, callOptions = {}) => {
-      const headers = headersOf(options.name, callOptions);
-      return gateway.call({ call: name, headers, body }, callOptions.signal ?? neverAborted);
+      const headers = headersOf(options, callOptions);
+      const keyIsNew = callOptions.key === undefined;
+      const request = { call: name, headers, body, keyIsNew };
+      return gateway.call(request, callOptions.signal ?? new AbortController().signal);
     },
     stop: () => supervisor.stop(),
   };
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -41,27 +41,21 @@
   logger: Logger;
   /** Finds policy, context and allowance of a request. */
   originOf: (request: CallRequest) => Result<CallOrigin, Failure>;
-  /** Unique id of this process, part of every request id. */
-  incarnation: string;
 }
 
 interface AttemptEnd {
   answer: CallAnswer;
   code: ResultNumber;
+  /** True when a daemon gave the answer, false when the failure arose here. */
+  answered: boolean;
 }
 
 /** Makes a gateway. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { clock, router, transport } = options;
-  let requests = 0;
-
-  function nextRequestId(): string {
-    requests += 1;
-    return `${options.incarnation}-${requests}`;
-  }
 
   function endOfFailure(failure: Failure): AttemptEnd {
-    return { answer: answerOfFailure(failure), code: failure.code };
+    return { answer: answerOfFailure(failure), code: failure.code, answered: false };
   }
 
   async function send(call: CallProgress, member: Member): Promise<AttemptEnd> {
@@ -76,7 +70,6 @@
     const headers = {
       ...passedHeaders(request.headers),
       ...encodeHop(context, grant.tokens, remainingMs),
-      [CallHeader.request]: nextRequestId(),
     };
     const sent = await transport.send(
       { address: member.address, port: member.callPort },
@@ -96,7 +89,7 @@
     }
     grant.settle(numberOfAnswer(sent.value, CallHeader.tokensLeft, 0));
     router.noteAnswer(member, sent.value);
-    return { answer: sent.value, code: codeOfAnswer(sent.value) };
+    return { answer: sent.value, code: codeOfAnswer(sent.value), answered: true };
   }
 
   async function attempt(call: CallProgress): Promise<AttemptEnd> {
@@ -126,8 +119,21 @@
     return !signal.aborted;
   }
 
+  /** Only its home can say that a key was not run, unless no other attempt can carry it. */
+  function settleKey(call: CallProgress, end: AttemptEnd): AttemptEnd {
+    if (call.policy.execution !== 'atMostOnce') return end;
+    const unsettled = end.code === ResultCode.notHome || (!end.answered && isNotRun(end.code));
+    if (!unsettled) return end;
+    const message = `the home of the key could not be asked (${end.code}); try the same key again`;
+    const code = call.keyIsSole
+      ? ResultCode.notRunHomeUnavailable
+      : ResultCode.unknownKeyMayHaveRun;
+    return endOfFailure(createFailure(code, message));
+  }
+
   /** An earlier attempt may have run, so a later refusal does not make the call "not run". */
-  function truthful(call: CallProgress, end: AttemptEnd): AttemptEnd {
+  function truthful(call: CallProgress, last: AttemptEnd): AttemptEnd {
+    const end = settleKey(call, last);
     if (!call.mayHaveRun || !isNotRun(end.code)) return end;
     const message = `an earlier attempt of ${call.policy.name} may have run; the last one was refused with ${end.code}`;
     return endOfFailure(createFailure(ResultCode.unknownConnectionLost, message));
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -15,7 +15,9 @@
 import type { Failure } from './failure.js';
 import type { Histograms } from './histograms.js';
 import type { Logger } from './logger.js';
+import type { OneShot } from './oneShot.js';
 import { ResultCode } from './resultCode.js';
+import type { ExecutionBounds } from './shardHome.js';
 import type { RunningCalls } from './runningCalls.js';
 import type { TargetRegistry } from './targetRegistry.js';
 import { TimeBelow } from './timeBelow.js';
@@ -29,12 +31,8 @@
   handle(request: CallRequest, signal: AbortSignal): Promise<CallAnswer>;
 }
 
-/** Runs `work` at most once for the key of the call; see `oneShot.ts`. */
-export type OneShotRunner = (
-  policy: CallPolicy,
-  context: HopContext,
-  work: (notAfter: number) => Promise<Result<CallAnswer, Failure>>,
-) => Promise<Result<CallAnswer, Failure>>;
+/** Runs `execute` at most once for a key; see `oneShot.ts`. */
+export type OneShotRunner = OneShot['execute'];
 
 /** What a guard needs. */
 export interface GuardOptions {
@@ -47,8 +45,6 @@
   logger: Logger;
   configuration: () => Configuration | undefined;
   oneShot: OneShotRunner;
-  /** Unique id of this process. */
-  incarnation: string;
 }
 
 interface GuardedCall {
@@ -99,22 +95,31 @@
     return headers;
   }
 
-  async function sendToTarget(call: GuardedCall, id: string, notAfter: number) {
+  async function sendToTarget(call: GuardedCall, id: string, bounds?: ExecutionBounds) {
     const { policy, request } = call;
     const target = registry.current();
     if (!target) return failed(ResultCode.notRunNoTarget, 'the target beside this daemon is gone');
-    const now = clock.now();
-    const remainingMs = remainingForHopMs(Math.min(call.context.deadlineAt, notAfter), now);
+    const remainingMs = remainingForHopMs(call.context.deadlineAt, clock.now());
     if (remainingMs === 0) {
       return failed(ResultCode.notRunDeadline, 'no time was left when the call reached its target');
     }
     const name = policy.name.slice(policy.service.length + 1);
+    const headers = headersForTarget(call, id, remainingMs);
+    if (bounds) {
+      const beginWithinMs = bounds.beginWithinMs();
+      if (beginWithinMs <= 0) {
+        const message = 'the home of the key was not sure to be the only one; try the key again';
+        return failed(ResultCode.notRunHomeUnavailable, message);
+      }
+      // The target shares this host's calendar clock, and refuses what comes later.
+      headers[CallHeader.latestStart] = String(clock.date().getTime() + beginWithinMs);
+    }
     const sent = await options.transport.send(
       target,
       `/${policy.service}/${name}`,
       {
         call: policy.name,
-        headers: headersForTarget(call, id, remainingMs),
+        headers,
         body: request.body,
       },
       { timeoutMs: remainingMs, maxAnswerBytes: policy.maxAnswerBytes, signal: call.signal },
@@ -122,7 +127,7 @@
     return sent.isErr() ? sent : checkTargetAnswer(sent.value);
   }
 
-  async function runAtTarget(call: GuardedCall, permit: Permit, notAfter: number) {
+  async function runAtTarget(call: GuardedCall, permit: Permit, bounds?: ExecutionBounds) {
     const { policy, context, allowance, signal } = call;
     const id = uuidv7();
     const below = new TimeBelow(clock);
@@ -133,21 +138,12 @@
       queueTimeMs: permit.waitedMs,
       concurrency: admission.load().inFlight,
     });
-    const result = await sendToTarget(call, id, notAfter);
+    const result = await sendToTarget(call, id, bounds);
     runningCalls.end(id);
     permit.release(outcomeOf(result, signal), below.elapsedMs());
     return result;
   }
 
-  async function admitAndRun(
-    call: GuardedCall,
-    notAfter: number,
-  ): Promise<Result<CallAnswer, Failure>> {
-    const permit = await admission.enter({ ...call.context, signal: call.signal });
-    if (permit.isErr()) return permit;
-    return runAtTarget(call, permit.value, notAfter);
-  }
-
   function refusal(policy: CallPolicy): Failure | undefined {
     const state = registry.state();
     if (state === 'draining') {
@@ -162,13 +158,24 @@
     return undefined;
   }
 
-  async function run(call: GuardedCall): Promise<Result<CallAnswer, Failure>> {
+  async function admitAndRun(
+    call: GuardedCall,
+    bounds?: ExecutionBounds,
+  ): Promise<Result<CallAnswer, Failure>> {
     const refused = refusal(call.policy);
     if (refused) return Err(refused);
-    if (call.policy.execution === 'repeatable') return admitAndRun(call, Infinity);
+    const permit = await admission.enter({ ...call.context, signal: call.signal });
+    if (permit.isErr()) return permit;
+    return runAtTarget(call, permit.value, bounds);
+  }
+
+  async function run(call: GuardedCall): Promise<Result<CallAnswer, Failure>> {
+    if (call.policy.execution === 'repeatable') return admitAndRun(call);
+    const { key } = call.context;
+    if (!key) return failed(ResultCode.badKeyMissing, 'the attempt came without its key');
     // A retry of the same key joins the running call, so it outlives the caller that began it.
     const kept = { ...call, signal: new AbortController().signal };
-    return options.oneShot(call.policy, call.context, (notAfter) => admitAndRun(kept, notAfter));
+    return options.oneShot(key, (bounds) => admitAndRun(kept, bounds));
   }
 
   function finish(answer: CallAnswer, request: CallRequest, tokensLeft: number): CallAnswer {
--- a/packages/core/src/targetRouter.ts
+++ b/packages/core/src/targetRouter.ts
@@ -5,13 +5,16 @@
 import type { CallContext } from './callContext.js';
 import { CallHeader } from './callHeaders.js';
 import type { CallerShedding } from './callerShedding.js';
-import type { CallPolicy } from './configuration.js';
+import type { CallPolicy, Configuration } from './configuration.js';
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
-import type { Directory, Member } from './member.js';
+import type { HomeLocator } from './homeLocator.js';
+import { shardOf } from './idempotencyKey.js';
+import type { Member } from './member.js';
 import { ResultCode } from './resultCode.js';
 import { placeOf } from './shedLevel.js';
 import type { TargetChooser } from './targetChooser.js';
+import type { TargetSubsets } from './targetSubset.js';
 
 /** Finds the daemon that an attempt goes to. */
 export interface TargetRouter {
@@ -29,21 +32,23 @@
 
 /** What a router needs. */
 export interface TargetRouterOptions {
-  directory: Directory;
+  subsets: TargetSubsets;
+  homes: HomeLocator;
+  configuration: () => Configuration | undefined;
   chooser: TargetChooser;
   shedding: CallerShedding;
 }
 
 /** Makes a router that sends nothing to a target which would shed it. */
 export function createTargetRouter(options: TargetRouterOptions): TargetRouter {
-  const { directory, chooser, shedding } = options;
+  const { subsets, homes, chooser, shedding } = options;
 
   function chooseRepeatable(
     policy: CallPolicy,
     context: CallContext,
     tried: ReadonlySet<string>,
   ): Result<Member, Failure> {
-    const targets = directory.targetsOf(policy.service);
+    const targets = subsets.targetsOf(policy.service);
     const place = placeOf(context.importance, context.caller);
     const open = targets.filter((member) => !shedding.refuses(member.incarnation, place));
     const member = chooser.choose(open, tried);
@@ -56,8 +61,22 @@
     return Err(createFailure(ResultCode.notRunNoTarget, message));
   }
 
+  /** Only the home can tell what became of a key, so nothing is shed before it was asked. */
+  function chooseHome(policy: CallPolicy, key: string): Result<Member, Failure> {
+    const shards = options.configuration()?.services[policy.service]?.shards ?? 1;
+    const shard = shardOf(key, shards);
+    const home = homes.homeOf(policy.service, shard);
+    if (home) return Ok(home);
+    const message = `no home is known for shard ${shard} of ${policy.service}; try the same key again`;
+    return Err(createFailure(ResultCode.notHome, message));
+  }
+
   return {
-    choose: chooseRepeatable,
+    choose: (policy, context, tried) => {
+      const { key } = context;
+      const atHome = policy.execution === 'atMostOnce' && key !== undefined;
+      return atHome ? chooseHome(policy, key) : chooseRepeatable(policy, context, tried);
+    },
     begin: (member) => chooser.begin(member),
     end: (member) => chooser.end(member),
     noteAnswer: (member, answer) => {
--- a/packages/daemon/src/callRoutes.ts
+++ b/packages/daemon/src/callRoutes.ts
@@ -52,7 +52,7 @@
     return { status: 200, headers: { 'content-type': 'application/json' }, body };
   }
 
-  return async (message) => {
+  async function answer(message: HttpMessage): Promise<HttpAnswer> {
     const [, route, service, call, rest] = message.path.split('/');
     if (message.method !== 'POST') {
       return failed(ResultCode.badRequest, 'send calls with POST /call/SERVICE/CALL');
@@ -64,5 +64,12 @@
       if (route === 'call') return parts.gateway.call(request, message.signal);
     }
     return failed(ResultCode.badRequest, `${message.path} is not served; use /call/SERVICE/CALL`);
+  }
+
+  return async (message) => {
+    const answered = await answer(message);
+    if (parts.registry.state() !== 'draining') return answered;
+    // Nobody is to hold a connection for the next call when this daemon has gone.
+    return { ...answered, headers: { ...answered.headers, connection: 'close' } };
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,23 @@
 import { v7 as uuidv7 } from 'uuid';
 import {
+  HttpCallTransport,
+  MAX_SILENCE_MS,
   PeerServer,
-  ProvisionalTransport,
   RpcPeerCaller,
   closeHttp,
   createSupervisor,
   listenHttp,
+  startInterimAnswers,
+} from '@shallotcroft/core';
+import type {
+  Clock,
+  HttpHandler,
+  ListeningServer,
+  Logger,
+  RandomSource,
+  Store,
+  Supervisor,
 } from '@shallotcroft/core';
-import type { Clock, HttpHandler, Logger, RandomSource } from '@shallotcroft/core';
 import { createCallRoutes } from './callRoutes.js';
 import { createDaemonParts } from './daemonParts.js';
 import type { DaemonParts } from './daemonParts.js';
@@ -16,7 +26,7 @@
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const IN_FLIGHT_POLL_MS = 20;
 /** Daemons that have not heard of the leaving still get an answer, "not run", for this long. */
-const LEAVE_NOTICE_MS = 500;
+const LEAVE_NOTICE_MS = 1000;
 /** Longer than callers keep idle connections, so that they close first. */
 const SERVER_IDLE_TIMEOUT_MS = 30_000;
 
@@ -26,6 +36,8 @@
   clock: Clock;
   random: RandomSource;
   logger: Logger;
+  /** Absent when the settings name no store. */
+  store?: Store;
 }
 
 /** A daemon that runs. */
@@ -36,64 +48,102 @@
   stop(): Promise<void>;
 }
 
-/** Starts a daemon; fails when an address is taken. */
+const startedAlready = async (): Promise<void> => undefined;
+
+function listenForCalls(
+  settings: Settings,
+  routes: () => HttpHandler | undefined,
+): Promise<ListeningServer> {
+  return listenHttp(settings.address, settings.callPort, MAX_BODY_BYTES, async (message) => {
+    const handler = routes();
+    if (!handler) return { status: 503, headers: {}, body: Buffer.alloc(0) };
+    return handler(message);
+  });
+}
+
+/** Refuses new work, hands keys over, and waits for the calls in flight. */
+async function finishCalls(parts: DaemonParts, clock: Clock): Promise<void> {
+  parts.registry.drain();
+  await Promise.all([parts.oneShot.leave(), clock.sleep(LEAVE_NOTICE_MS)]);
+  while (parts.runningCalls.count() > 0) await clock.sleep(IN_FLIGHT_POLL_MS);
+  parts.registry.stop();
+}
+
+/** Starts what stands on the listeners, in the order in which it is stopped in reverse. */
+async function startParts(supervisor: Supervisor, parts: DaemonParts, clock: Clock) {
+  const { membership, configuration, bootstrap } = parts;
+  await supervisor.start({
+    name: 'membership',
+    start: () => membership.start(),
+    stop: () => membership.leave(),
+  });
+  await supervisor.start({
+    name: 'configuration',
+    start: async () => {
+      bootstrap?.start();
+      await configuration.start();
+    },
+    stop: async () => {
+      bootstrap?.stop();
+      configuration.stop();
+    },
+  });
+  await supervisor.start({
+    name: 'target',
+    start: startedAlready,
+    stop: () => finishCalls(parts, clock),
+  });
+}
+
+/** Starts a daemon; rejects when an address is taken. */
 export async function startDaemon(options: DaemonOptions): Promise<Daemon> {
-  const { clock, logger } = options;
+  const { clock, logger, store } = options;
   const incarnation = uuidv7();
   const supervisor = createSupervisor(options);
   const methods = new PeerServer();
   const peers = new RpcPeerCaller();
-  const transport = new ProvisionalTransport();
+  const daemonTransport = new HttpCallTransport({
+    clock,
+    incarnation,
+    silenceMs: MAX_SILENCE_MS,
+    echoRequired: true,
+  });
+  const targetTransport = new HttpCallTransport({ clock, incarnation });
   let routes: HttpHandler | undefined;
 
-  const listening = await listenHttp(
-    options.settings.address,
-    options.settings.callPort,
-    MAX_BODY_BYTES,
-    async (message) => {
-      if (!routes) return { status: 503, headers: {}, body: Buffer.alloc(0) };
-      return routes(message);
-    },
-  );
+  const listening = await listenForCalls(options.settings, () => routes);
   listening.server.keepAliveTimeout = SERVER_IDLE_TIMEOUT_MS;
+  const interim = startInterimAnswers(listening.server, clock);
   const peerPort = await methods.listen(options.settings.address, options.settings.peerPort);
   const settings: Settings = { ...options.settings, callPort: listening.port, peerPort };
-  const parts = createDaemonParts({ ...options, settings, incarnation, transport, peers, methods });
+  const parts = createDaemonParts({
+    ...options,
+    settings,
+    incarnation,
+    daemonTransport,
+    targetTransport,
+    peers,
+    methods,
+  });
   routes = createCallRoutes(parts, settings.address);
 
-  async function finishCalls(): Promise<void> {
-    parts.registry.drain();
-    await clock.sleep(LEAVE_NOTICE_MS);
-    while (parts.runningCalls.count() > 0) await clock.sleep(IN_FLIGHT_POLL_MS);
-  }
-
   await supervisor.start({
     name: 'connections',
-    start: async () => undefined,
+    start: startedAlready,
     stop: async () => {
-      await Promise.all([peers.close(), transport.close()]);
+      await Promise.all([peers.close(), daemonTransport.close(), targetTransport.close()]);
+      await store?.close();
     },
   });
   await supervisor.start({
     name: 'listeners',
-    start: async () => undefined,
+    start: startedAlready,
     stop: async () => {
       await Promise.all([closeHttp(listening.server), methods.close()]);
+      interim.stop();
     },
   });
-  await supervisor.start({
-    name: 'membership',
-    start: () => parts.membership.start(),
-    stop: () => parts.membership.leave(),
-  });
-  await supervisor.start({
-    name: 'target',
-    start: async () => undefined,
-    stop: async () => {
-      await finishCalls();
-      parts.registry.stop();
-    },
-  });
+  await startParts(supervisor, parts, clock);
   logger.log('info', 'daemon serves', {
     incarnation,
     callPort: settings.callPort,
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -2,23 +2,30 @@
   ControlMethod,
   RetryBudget,
   createAdmission,
+  createBootstrapKeeper,
   createCallOrigins,
   createCallerShedding,
+  createConfigurationKeeper,
   createGateway,
   createGuard,
   createHistograms,
+  createHomeLocator,
   createMembership,
   createRunningCalls,
   createTargetChooser,
   createTargetRegistry,
   createTargetRouter,
+  createTargetSubsets,
+  readBootstrapAddresses,
   serveDirectoryViews,
 } from '@shallotcroft/core';
 import type {
+  Admission,
   AdmissionSettings,
+  BootstrapKeeper,
   CallTransport,
   Clock,
-  Configuration,
+  ConfigurationKeeper,
   DaemonStatus,
   Gateway,
   Guard,
@@ -30,8 +37,11 @@
   PeerMethods,
   RandomSource,
   RunningCalls,
+  Store,
   TargetRegistry,
 } from '@shallotcroft/core';
+import { createOneShotSlot } from './oneShotSlot.js';
+import type { OneShotSlot } from './oneShotSlot.js';
 import type { Settings } from './settings.js';
 
 /** What the parts of a daemon are made from. */
@@ -42,22 +52,34 @@
   clock: Clock;
   random: RandomSource;
   logger: Logger;
-  transport: CallTransport;
+  /** Carries calls to the daemons of other targets. */
+  daemonTransport: CallTransport;
+  /** Carries calls to the target beside this daemon. */
+  targetTransport: CallTransport;
   peers: PeerCaller;
   methods: PeerMethods;
+  /** Absent when the settings name no store. */
+  store?: Store;
 }
 
 /** The parts of a daemon, without listeners. */
 export interface DaemonParts {
   gateway: Gateway;
   guard: Guard;
+  admission: Admission;
   registry: TargetRegistry;
   runningCalls: RunningCalls;
   histograms: Histograms;
   membership: Membership;
+  configuration: ConfigurationKeeper;
+  bootstrap: BootstrapKeeper | undefined;
+  oneShot: OneShotSlot;
   status(): DaemonStatus;
 }
 
+/** In force until a configuration is known; until then the daemon announces no target. */
+const initialAdmission: AdmissionSettings = { limit: 'adaptive', slots: 1, objective: 'goodput' };
+
 function memberOfSettings(settings: Settings, incarnation: string): Member {
   return {
     incarnation,
@@ -73,94 +95,120 @@
   };
 }
 
-/** In force until a configuration is known; without one no call is let in. */
-const initialAdmission: AdmissionSettings = { limit: 'adaptive', slots: 1, objective: 'goodput' };
-
-/** Makes the parts of a daemon; nothing runs until they are started. */
-export function createDaemonParts(options: DaemonPartsOptions): DaemonParts {
-  const { settings, clock, random, transport, incarnation, methods } = options;
-  const self = memberOfSettings(settings, incarnation);
-  let configurationInForce: Configuration | undefined;
-  const configuration = (): Configuration | undefined => configurationInForce;
+/** Parts that know the fleet and the configuration. */
+function createFleetParts(options: DaemonPartsOptions) {
+  const { settings, clock, store } = options;
   const membership = createMembership({
     ...options,
-    self,
-    bootstrap: async () => settings.bootstrap,
+    self: memberOfSettings(settings, options.incarnation),
+    bootstrap: () => readBootstrapAddresses(store, settings.bootstrap, clock),
   });
-  const admission = createAdmission({ clock, settings: initialAdmission });
-  const histograms = createHistograms();
-  const runningCalls = createRunningCalls();
-  const registry = createTargetRegistry({ clock });
+  return {
+    membership,
+    configuration: createConfigurationKeeper({ ...options, membership }),
+    bootstrap: store && createBootstrapKeeper({ ...options, store, membership }),
+  };
+}
 
-  function reconfigureAdmission(): void {
+/** Follows the target and the configuration: what is announced, admitted and kept depends on both. */
+function followTarget(parts: Omit<DaemonParts, 'guard' | 'gateway' | 'status'>): void {
+  const { registry, configuration, admission, membership, oneShot } = parts;
+
+  function refresh(): void {
+    const current = configuration.current();
     const service = registry.current()?.service ?? '';
-    const policy = configurationInForce?.services[service];
-    if (!policy || !configurationInForce) return;
-    const { limit, slots } = policy;
-    admission.reconfigure({ limit, slots, objective: configurationInForce.objective });
+    const policy = current?.services[service];
+    if (!current || !policy) return;
+    const { limit, slots, shards } = policy;
+    admission.reconfigure({ limit, slots, objective: current.objective });
+    membership.update({ service, state: registry.state() }).catch(() => undefined);
+    oneShot.begin({ self: membership.self(), service, shards });
   }
 
   registry.onChange(() => {
-    reconfigureAdmission();
-    const service = registry.current()?.service ?? '';
-    membership.update({ service, state: registry.state() }).catch(() => undefined);
+    if (registry.state() === 'draining') admission.close();
+    refresh();
   });
+  configuration.onChange(refresh);
+}
+
+/** Parts that calls pass through. */
+function createCallParts(
+  options: DaemonPartsOptions,
+  parts: Omit<DaemonParts, 'guard' | 'gateway' | 'status'>,
+): Pick<DaemonParts, 'guard' | 'gateway'> {
+  const { settings, clock, random } = options;
+  const { membership } = parts;
+  const configuration = parts.configuration.current;
   const guard = createGuard({
-    clock,
-    transport,
-    admission,
-    registry,
-    runningCalls,
-    histograms,
-    logger: options.logger,
+    ...options,
+    ...parts,
+    transport: options.targetTransport,
     configuration,
-    oneShot: (_policy, _context, work) => work(Infinity),
-    incarnation,
-  });
-  const chooser = createTargetChooser({
-    dataCentre: settings.dataCentre,
-    random,
+    oneShot: parts.oneShot.run,
   });
   const gateway = createGateway({
-    clock,
-    random,
-    transport,
+    ...options,
+    ...parts,
+    transport: options.daemonTransport,
     router: createTargetRouter({
-      directory: membership,
-      chooser,
+      subsets: createTargetSubsets(settings, membership),
+      homes: createHomeLocator(membership),
+      configuration,
+      chooser: createTargetChooser({ dataCentre: settings.dataCentre, random }),
       shedding: createCallerShedding(clock, random),
     }),
     retryBudget: new RetryBudget(clock),
-    histograms,
-    logger: options.logger,
-    incarnation,
-    originOf: createCallOrigins({
-      clock,
-      configuration,
-      runningCalls,
-      childKey: (parentKey) => parentKey,
-    }),
-  });
-  const status = (): DaemonStatus => ({
-    self: membership.self(),
-    revision: configurationInForce?.revision ?? 0,
-    storeReachable: undefined,
-    load: admission.load(),
-    members: membership.members().length,
+    originOf: createCallOrigins({ clock, configuration, runningCalls: parts.runningCalls }),
   });
+  return { guard, gateway };
+}
 
-  methods.register('configuration.push', async (params) => {
-    configurationInForce = params as Configuration;
-    reconfigureAdmission();
-    return configurationInForce.revision;
-  });
-  serveDirectoryViews(methods, membership, configuration);
+function registerControl(methods: PeerMethods, parts: DaemonParts): void {
+  const { membership, histograms, registry, status } = parts;
+  serveDirectoryViews(methods, membership, parts.configuration.current);
   methods.register(ControlMethod.status, async () => status());
   methods.register(ControlMethod.members, async () => membership.members());
   methods.register(ControlMethod.histograms, async () => histograms.rows());
   methods.register(ControlMethod.drain, async () => {
     registry.drain();
-    return status().self;
+    return membership.self();
+  });
+}
+
+/** Makes the parts of a daemon; nothing runs until they are started. */
+export function createDaemonParts(options: DaemonPartsOptions): DaemonParts {
+  const { clock } = options;
+  const fleet = createFleetParts(options);
+  const { membership, configuration } = fleet;
+  const admission = createAdmission({ clock, settings: initialAdmission });
+  const oneShot = createOneShotSlot({
+    ...options,
+    directory: membership,
+    onClaims: (homes) => {
+      membership.update({ homes }).catch(() => undefined);
+    },
   });
-  return { gateway, guard, registry, runningCalls, histograms, membership, status };
+  const early = {
+    ...fleet,
+    admission,
+    oneShot,
+    registry: createTargetRegistry({ clock }),
+    runningCalls: createRunningCalls(),
+    histograms: createHistograms(),
+  };
+  followTarget(early);
+  const parts: DaemonParts = {
+    ...early,
+    ...createCallParts(options, early),
+    status: () => ({
+      self: membership.self(),
+      revision: configuration.current()?.revision ?? 0,
+      storeReachable: configuration.storeReachable(),
+      load: admission.load(),
+      members: membership.members().filter((member) => member.state !== 'gone').length,
+    }),
+  };
+  registerControl(options.methods, parts);
+  return parts;
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { cac } from 'cac';
-import { createLogger, systemClock, systemRandom } from '@shallotcroft/core';
+import { EtcdStore, createLogger, systemClock, systemRandom } from '@shallotcroft/core';
 import { startDaemon } from './daemon.js';
 import { readSettings } from './settings.js';
 
@@ -9,11 +9,19 @@
 async function run(settingsFile: string): Promise<void> {
   const settings = readSettings(settingsFile);
   const logger = createLogger(settings.logLevel, { host: settings.host });
+  const store =
+    settings.store &&
+    new EtcdStore({
+      endpoints: settings.store.endpoints,
+      clock: systemClock,
+      random: systemRandom,
+    });
   const daemon = await startDaemon({
     settings,
     logger,
     clock: systemClock,
     random: systemRandom,
+    ...(store ? { store } : {}),
   });
   process.stdout.write(`${JSON.stringify({ listening: daemon.settings })}\n`);
   const stop = (): void => {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -10,6 +10,7 @@
   callPort: number;
   peerPort: number;
   bootstrap: PeerAddress[];
+  store?: { endpoints: string[] };
   logLevel: LogLevel;
 }
 
--- a/playground/src/deployment.ts
+++ b/playground/src/deployment.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { stringify } from 'yaml';
+import { CONFIGURATION_KEY, EtcdStore, systemClock, systemRandom } from '@shallotcroft/core';
 import type { Configuration, LogLevel, PeerAddress } from '@shallotcroft/core';
 import { startProcess } from './processes.js';
 import type { PlaygroundProcess } from './processes.js';
@@ -10,6 +11,7 @@
 
 const LOOPBACK = '127.0.0.1';
 const daemonProgram = fileURLToPath(import.meta.resolve('@shallotcroft/daemon/main'));
+const storeProgram = fileURLToPath(new URL('./storeMain.js', import.meta.url));
 const targetProgram = fileURLToPath(new URL('./targetMain.js', import.meta.url));
 
 /** What a deployment on this machine consists of. */
@@ -34,14 +36,28 @@
   target: PlaygroundProcess;
 }
 
+/** The store's stand-in, a process. */
+export interface DeployedStore {
+  process: PlaygroundProcess;
+  endpoint: string;
+  /** Where faults are set, with POST /admin/faults. */
+  adminEndpoint: string;
+}
+
 /** Daemons and targets that run as processes of their own. */
 export interface Deployment {
+  store: DeployedStore;
   hosts: DeployedHost[];
   hostsOf(service: string): DeployedHost[];
   /** Stops everything gracefully. */
   stop(): Promise<void>;
 }
 
+interface ListeningStore {
+  listening: number;
+  admin: number;
+}
+
 interface ListeningDaemon {
   listening: { callPort: number; peerPort: number };
 }
@@ -56,10 +72,36 @@
   );
 }
 
-/** Starts the daemons and targets of a plan on loopback. */
+async function startStore(): Promise<DeployedStore> {
+  const process = await startProcess('store', storeProgram, []);
+  const { listening, admin } = process.ready as ListeningStore;
+  return {
+    process,
+    endpoint: `http://${LOOPBACK}:${listening}`,
+    adminEndpoint: `http://${LOOPBACK}:${admin}`,
+  };
+}
+
+async function writeConfiguration(
+  store: DeployedStore,
+  configuration: Configuration,
+): Promise<void> {
+  const writer = new EtcdStore({
+    endpoints: [store.endpoint],
+    clock: systemClock,
+    random: systemRandom,
+  });
+  const swapped = await writer.swap(CONFIGURATION_KEY, 0, JSON.stringify(configuration));
+  await writer.close();
+  if (swapped.isErr()) throw new Error(swapped.error.message);
+}
+
+/** Starts the store, daemons and targets of a plan on loopback. */
 export async function startDeployment(plan: DeploymentPlan): Promise<Deployment> {
   const folder = mkdtempSync(path.join(tmpdir(), 'shallotcroft-'));
   const hosts: DeployedHost[] = [];
+  const store = await startStore();
+  await writeConfiguration(store, plan.configuration);
 
   function settingsFile(name: string, settings: unknown): string {
     const file = path.join(folder, `${name}.yaml`);
@@ -76,8 +118,9 @@
         host,
         dataCentre,
         address: LOOPBACK,
-        bootstrap: hosts.slice(0, 2).map((known) => known.peer),
+        bootstrap: hosts.slice(0, 1).map((known) => known.peer),
         logLevel: plan.logLevel,
+        store: { endpoints: [store.endpoint] },
       }),
     ]);
     const { callPort, peerPort } = (daemon.ready as ListeningDaemon).listening;
@@ -95,15 +138,20 @@
     hosts.push({ host, service, dataCentre, callPort, peer, daemon, target });
   }
 
-  for (const service of Object.keys(plan.configuration.services)) {
-    for (let index = 0; index < plan.targetsPerService; index++) await startHost(service, index);
-  }
+  const places = Object.keys(plan.configuration.services).flatMap((service) =>
+    Array.from({ length: plan.targetsPerService }, (_, index) => ({ service, index })),
+  );
+  const [first, ...others] = places;
+  if (first) await startHost(first.service, first.index);
+  await Promise.all(others.map(({ service, index }) => startHost(service, index)));
   return {
+    store,
     hosts,
     hostsOf: (service) => hosts.filter((host) => host.service === service),
     stop: async () => {
       await Promise.all(hosts.map((host) => host.daemon.end('SIGTERM')));
       await Promise.all(hosts.map((host) => host.target.end('SIGTERM')));
+      await store.process.end('SIGTERM');
       rmSync(folder, { recursive: true, force: true });
     },
   };
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -7,3 +7,5 @@
 export type { PlaygroundProcess } from './processes.js';
 export { startTarget } from './target.js';
 export type { Target, TargetCall, TargetSettings } from './target.js';
+export { waitUntilReady } from './readiness.js';
+export type { DeployedStore } from './deployment.js';
--- a/playground/src/start.ts
+++ b/playground/src/start.ts
@@ -2,6 +2,7 @@
 import { RpcPeerCaller } from '@shallotcroft/core';
 import type { CallPolicy, Configuration, ServicePolicy } from '@shallotcroft/core';
 import { startDeployment } from './deployment.js';
+import { waitUntilReady } from './readiness.js';
 
 /** The main job on an embedded default: the reading circles, thin. */
 
@@ -49,13 +50,7 @@
   logLevel: 'warn',
 });
 const peers = new RpcPeerCaller();
-for (const host of deployment.hosts) {
-  const pushed = await peers.call(host.peer, 'configuration.push', configuration, 1000);
-  if (pushed.isErr()) throw new Error(pushed.error.message);
-}
-await new Promise((resolve) => {
-  setTimeout(resolve, 1000);
-});
+await waitUntilReady(deployment, peers, configuration.revision);
 const entry = deployment.hosts[5];
 for (let index = 0; index < CALLS; index++) {
   const answer = await request(`http://127.0.0.1:${entry?.callPort}/call/circles/reserve`, {
--- a/playground/src/target.ts
+++ b/playground/src/target.ts
@@ -70,6 +70,10 @@
     if (service !== settings.service || !call) {
       return { status: 404, headers: {}, body: Buffer.from('{}') };
     }
+    const latestStart = Number(message.headers[CallHeader.latestStart] ?? Infinity);
+    if (Date.now() > latestStart) {
+      return { status: 503, headers: { [CallHeader.refused]: '1' }, body: Buffer.from('{}') };
+    }
     const key = `${name}#${String(message.headers[CallHeader.key] ?? '')}`;
     executions.set(key, (executions.get(key) ?? 0) + 1);
     const part: AnswerPart = {
--- a/scripts/src/measureLatency.ts
+++ b/scripts/src/measureLatency.ts
@@ -2,15 +2,16 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Agent, request } from 'undici';
 import {
+  MAX_SILENCE_MS,
   RpcPeerCaller,
-  ProvisionalTransport,
+  HttpCallTransport,
   createEmbeddedCaller,
   silentLogger,
   systemClock,
   systemRandom,
 } from '@shallotcroft/core';
 import type { Configuration, EmbeddedCaller } from '@shallotcroft/core';
-import { startDeployment, startPassThrough } from '@shallotcroft/playground';
+import { startDeployment, startPassThrough, waitUntilReady } from '@shallotcroft/playground';
 import { numberFlag } from './flags.js';
 
 /**
@@ -68,10 +69,7 @@
 const [host] = deployment.hostsOf('catalogue');
 if (!entry || !host) throw new Error('the deployment did not start');
 const peers = new RpcPeerCaller();
-for (const each of deployment.hosts) {
-  const pushed = await peers.call(each.peer, 'configuration.push', configuration, 1000);
-  if (pushed.isErr()) throw new Error(pushed.error.message);
-}
+await waitUntilReady(deployment, peers, configuration.revision);
 const targetPort = (host.target.ready as { listening: number }).listening;
 const passThrough = await startPassThrough({ address: LOOPBACK, port: targetPort });
 const passThroughPort = (passThrough.ready as { listening: number }).listening;
@@ -84,10 +82,14 @@
   clock: systemClock,
   random: systemRandom,
   logger: silentLogger,
-  transport: new ProvisionalTransport(),
+  transport: new HttpCallTransport({
+    clock: systemClock,
+    incarnation: 'measure',
+    silenceMs: MAX_SILENCE_MS,
+    echoRequired: true,
+  }),
   peers,
 });
-await systemClock.sleep(2000);
 await caller.start();
 
 async function post(port: number, path: string): Promise<void> {
