--- a/packages/core/src/__tests__/membershipOrders.spec.ts
+++ b/packages/core/src/__tests__/membershipOrders.spec.ts
@@ -47,14 +47,21 @@
 
 /** Notes what must never happen at one daemon, from its own view. */
 function guardInvariants(daemon: FleetDaemon, broken: string[]): void {
+  const live = new Map<string, number>();
   const buried = new Map<string, number>();
   let revision = 0;
   daemon.membership.onChange(() => {
-    daemon.membership.members().forEach((member) => {
-      const { incarnation, version, state } = member;
-      const last = buried.get(incarnation) ?? -1;
-      if (state === 'gone') buried.set(incarnation, Math.max(last, version));
-      else if (version <= last) broken.push(`${daemon.name} revived ${incarnation}`);
+    const view = daemon.membership.members().filter((member) => member.state !== 'gone');
+    const seen = new Map(view.map(({ incarnation, version }) => [incarnation, version]));
+    live.forEach((version, incarnation) => {
+      if (!seen.has(incarnation)) buried.set(incarnation, version);
+    });
+    live.clear();
+    seen.forEach((version, incarnation) => {
+      live.set(incarnation, version);
+      if (version <= (buried.get(incarnation) ?? -1)) {
+        broken.push(`${daemon.name} revived ${incarnation} at ${version}`);
+      }
     });
   });
   daemon.keeper.onChange((next) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -158,6 +158,8 @@
   createTargetSubsets,
   defaultSubsetSize,
 } from './targetSubset.js';
+export { leavingAudience } from './leavingAudience.js';
+export { chooseTargetSubset, createTargetSubsets, defaultSubsetSize } from './targetSubset.js';
 export type { CallingHost, SubsetSize, TargetSubsets } from './targetSubset.js';
 export { createConfigurationKeeper } from './configurationKeeper.js';
 export type { ConfigurationKeeper, ConfigurationKeeperOptions } from './configurationKeeper.js';
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -25,6 +25,9 @@
 /** Members that are told at once of a change of this daemon's own record. */
 const ANNOUNCE_COUNT = 4;
 
+/** Most daemons that are told first that this one leaves; the rest hear it from them. */
+const MAX_TOLD_FIRST = 64;
+
 /** Least time between two comparisons of whole tables, in milliseconds. */
 const COMPARE_INTERVAL_MS = 5000;
 
@@ -47,7 +50,7 @@
   /** Addresses to join through; asked on start and seldom after. */
   bootstrap: () => Promise<PeerAddress[]>;
   logger: Logger;
-  /** Daemons that hold connections to this one; told first when its record changes. */
+  /** Daemons that hold connections to this one; told first when it drains or leaves. */
   connected?: () => PeerAddress[];
   /** Called when another incarnation has taken this daemon's place. */
   onDisplaced?: () => void;
@@ -139,10 +142,14 @@
     });
   }
 
-  /** Tells those connected and a few others, without waiting for the next round. */
+  function connectedWhenLeaving(news: MemberNews): PeerAddress[] {
+    const leaves = news.kind === 'gone' || news.member.state === 'draining';
+    return leaves ? (options.connected?.() ?? []).slice(0, MAX_TOLD_FIRST) : [];
+  }
+
+  /** Tells a few others without waiting for the next round, and those connected that it leaves. */
   async function tellAtOnce(news: MemberNews): Promise<void> {
-    const connected = options.connected?.() ?? [];
-    const addresses = [...connected, ...others(ANNOUNCE_COUNT).map(peerAddressOf)];
+    const addresses = [...connectedWhenLeaving(news), ...others(ANNOUNCE_COUNT).map(peerAddressOf)];
     if (queue.size > 0) spreadSoon();
     await Promise.all(addresses.map((address) => exchange.exchange(address, [news])));
   }
--- a/packages/core/src/targetSubset.ts
+++ b/packages/core/src/targetSubset.ts
@@ -83,17 +83,3 @@
     },
   };
 }
-
-/** Members whose subset may hold `target`: those that are told first when it drains. */
-export function callersHolding(
-  target: Member,
-  targets: Member[],
-  candidates: Member[],
-  size: SubsetSize = defaultSubsetSize,
-): Member[] {
-  return candidates.filter((caller) =>
-    chooseTargetSubset(caller, targets, size).some(
-      (chosen) => chosen.incarnation === target.incarnation,
-    ),
-  );
-}
