fix(core): old news of a death is put to the member before it is believed

Cause: after a cut of minutes each side hears from the other that its own members are gone, and hid them until each had overruled it: in a fleet of 12 the views of the own half lost members. News of a death that is older than 10 s about a member that is held for live at the same version is now put to that member; it overrules the news, or is looked into as any silent member.

Ruled out: asking before believing any death (every daemon would call each dead host).

Proof: "after a cut, what the other half thought does not hide the own half" fails before, passes after.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -152,12 +152,6 @@
 export { createHomeLocator } from './homeLocator.js';
 export type { HomeLocator } from './homeLocator.js';
 export { sleepByTimer } from './timerSleep.js';
-export {
-  callersHolding,
-  chooseTargetSubset,
-  createTargetSubsets,
-  defaultSubsetSize,
-} from './targetSubset.js';
 export { leavingAudience } from './leavingAudience.js';
 export { chooseTargetSubset, createTargetSubsets, defaultSubsetSize } from './targetSubset.js';
 export type { CallingHost, SubsetSize, TargetSubsets } from './targetSubset.js';
@@ -171,3 +165,6 @@
 export type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
 export { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from './interimAnswers.js';
 export type { InterimAnswers } from './interimAnswers.js';
+export { MembershipMethod, peerAddressOf } from './membershipContext.js';
+export { applyConfigurationDelta, createConfigurationDelta } from './configurationDelta.js';
+export type { ConfigurationDelta } from './configurationDelta.js';
--- a/packages/core/src/memberRecords.ts
+++ b/packages/core/src/memberRecords.ts
@@ -12,6 +12,9 @@
   Pick<Member, 'service' | 'state' | 'homes' | 'callPort' | 'peerPort'>
 >;
 
+/** Age from which news that a member is gone is doubted by those who hold it for live, in milliseconds. */
+const DOUBTED_AGE_MS = 10_000;
+
 /** What the records of a daemon are made of. */
 export interface MemberRecordsOptions {
   self: Member;
@@ -20,6 +23,8 @@
   onDisplaced?: (() => void) | undefined;
   /** Called when there is news to pass on. */
   onRumour: () => void;
+  /** Called with a live member and the doubtful news that it is gone. */
+  onDoubt: (member: Member, news: MemberNews) => void;
 }
 
 /** The table of one daemon, its own record in it, and the news that it passes on. */
@@ -94,6 +99,11 @@
       this.hearAboutSelf(news);
       return undefined;
     }
+    const doubted = this.doubtedMember(news);
+    if (doubted) {
+      this.options.onDoubt(doubted, news);
+      return undefined;
+    }
     const now = this.options.clock.now();
     const verdict = this.table.apply(news, now);
     if (verdict === 'older') return this.table.newsOf(incarnation, now);
@@ -107,6 +117,17 @@
     this.ended = true;
   }
 
+  /**
+   * A member that others took for gone a while ago, and that daemons here have reached since: they
+   * were cut off from it. Believing them would hide it until it has heard and overruled them.
+   */
+  private doubtedMember(news: MemberNews): Member | undefined {
+    if (news.kind !== 'gone' || news.version === FINAL_VERSION) return undefined;
+    if (news.ageMs < DOUBTED_AGE_MS) return undefined;
+    const held = this.table.liveOf(news.incarnation);
+    return held?.version === news.version ? held : undefined;
+  }
+
   /** News about this daemon: what is wrong is overruled by a record with a higher version. */
   private hearAboutSelf(news: MemberNews): void {
     const version = versionOf(news);
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -28,6 +28,9 @@
 /** Most daemons that are told first that this one leaves; the rest hear it from them. */
 const MAX_TOLD_FIRST = 64;
 
+/** Most members that are asked at once whether they are gone, as others say. */
+const MAX_DOUBTED = 8;
+
 /** Least time between two comparisons of whole tables, in milliseconds. */
 const COMPARE_INTERVAL_MS = 5000;
 
@@ -81,6 +84,7 @@
   // Every suspicion that is being looked into waits on it.
   setMaxListeners(0, stopping.signal);
   let spreadTimer: Timer | undefined;
+  const doubted = new Set<string>();
   let comparedAt = -COMPARE_INTERVAL_MS;
   const records = new MemberRecords({
     self: options.self,
@@ -89,6 +93,8 @@
     onDisplaced: options.onDisplaced,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the records and the tasks that spread them need each other
     onRumour: () => spreadSoon(),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- likewise
+    onDoubt: (member, news) => settleDoubt(member, news),
   });
   const { table, queue } = records;
 
@@ -169,6 +175,18 @@
     else await detector.suspect(member);
   }
 
+  /** Tells a member that it is taken for gone, which it overrules if it lives. */
+  async function confront(member: Member, news: MemberNews): Promise<void> {
+    const { answered } = await exchange.exchangeWith(member, [news]);
+    if (!answered) await detector.suspect(member);
+  }
+
+  function settleDoubt(member: Member, news: MemberNews): void {
+    if (doubted.size >= MAX_DOUBTED || doubted.has(member.incarnation)) return;
+    doubted.add(member.incarnation);
+    runTask(() => confront(member, news).finally(() => doubted.delete(member.incarnation)));
+  }
+
   /** A daemon that stood still for long may hold records whose tombstones others have dropped. */
   async function dropStaleTable(pausedMs: number): Promise<void> {
     if (pausedMs < STALE_TABLE_MS) return;
--- a/packages/core/src/__tests__/bootstrapAddresses.spec.ts
+++ b/playground/src/__tests__/bootstrapAddresses.spec.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createBootstrapKeeper, readBootstrapAddresses } from '../bootstrapAddresses.js';
-import { silentLogger } from '../logger.js';
-import { BOOTSTRAP_PREFIX } from '../storeKeys.js';
-import { Fleet, kill } from './fleet.js';
-import type { FleetDaemon } from './fleet.js';
+import {
+  BOOTSTRAP_PREFIX,
+  createBootstrapKeeper,
+  readBootstrapAddresses,
+  silentLogger,
+} from '@shallotcroft/core';
+import { Fleet, kill } from '../fleet.js';
+import type { FleetDaemon } from '../fleet.js';
 
 const MINUTES_MS = 180_000;
 
--- a/packages/core/src/__tests__/configurationDelta.spec.ts
+++ b/playground/src/__tests__/configurationDelta.spec.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import type { Configuration } from '../configuration.js';
-import { applyConfigurationDelta, createConfigurationDelta } from '../configurationDelta.js';
-import { configurationOf } from './fleet.js';
+import { applyConfigurationDelta, createConfigurationDelta } from '@shallotcroft/core';
+import type { Configuration } from '@shallotcroft/core';
+import { configurationOf } from '../fleet.js';
 
 const services = fc.dictionary(
   fc.constantFrom('a', 'b', 'c', 'd'),
--- a/packages/core/src/__tests__/configurationKeeper.spec.ts
+++ b/playground/src/__tests__/configurationKeeper.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Fleet, kill } from './fleet.js';
-import type { FleetDaemon } from './fleet.js';
+import { Fleet, kill } from '../fleet.js';
+import type { FleetDaemon } from '../fleet.js';
 
 /** In force everywhere within this time: the users' bound. */
 const IN_FORCE_MS = 6000;
--- a/packages/core/src/__tests__/leaving.spec.ts
+++ b/playground/src/__tests__/leaving.spec.ts
@@ -1,22 +1,30 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Ok } from 'ts-results-es';
-import type { CallAnswer, CallRequest, CallTransport } from '../call.js';
-import { encodeHop } from '../callContext.js';
-import { CallHeader } from '../callHeaders.js';
-import type { CallPolicy, Configuration } from '../configuration.js';
-import { createGuard } from '../guard.js';
-import type { Guard } from '../guard.js';
-import { createHistograms } from '../histograms.js';
-import { leavingAudience } from '../leavingAudience.js';
-import type { Member } from '../member.js';
-import { ResultCode } from '../resultCode.js';
-import { createRunningCalls } from '../runningCalls.js';
-import { createTargetRegistry } from '../targetRegistry.js';
-import type { TargetRegistry } from '../targetRegistry.js';
-import { chooseTargetSubset } from '../targetSubset.js';
-import { Fleet, configurationOf, memberNamed } from './fleet.js';
-import type { FleetDaemon } from './fleet.js';
+import {
+  CallHeader,
+  ResultCode,
+  chooseTargetSubset,
+  createGuard,
+  createHistograms,
+  createRunningCalls,
+  createTargetRegistry,
+  encodeHop,
+  leavingAudience,
+  silentLogger,
+} from '@shallotcroft/core';
+import type {
+  CallAnswer,
+  CallPolicy,
+  CallRequest,
+  CallTransport,
+  Configuration,
+  Guard,
+  Member,
+  TargetRegistry,
+} from '@shallotcroft/core';
+import { Fleet, configurationOf, memberNamed } from '../fleet.js';
+import type { FleetDaemon } from '../fleet.js';
 
 /** No new work reaches a target that leaves after this time: the users' "few seconds". */
 const LEAVING_BOUND_MS = 3000;
@@ -75,6 +83,7 @@
     registry,
     runningCalls: createRunningCalls(),
     histograms: createHistograms(),
+    logger: silentLogger,
     configuration: () => configuration,
     oneShot: (_policy, _context, work) => work(Infinity),
     incarnation: membership.self().incarnation,
--- a/packages/core/src/__tests__/membership.spec.ts
+++ b/playground/src/__tests__/membership.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Fleet, kill, pause, resume } from './fleet.js';
+import { Fleet, kill, pause, resume } from '../fleet.js';
 
 /** Longest time in which a death is to be known everywhere, on the manual clock. */
 const DETECTION_BOUND_MS = 60_000;
@@ -90,6 +90,25 @@
   assert.notEqual(await fleet.timeToAgree(DETECTION_BOUND_MS), undefined);
 });
 
+test('after a cut, what the other half thought does not hide the own half', async () => {
+  const fleet = await fleetOf(12);
+  const far = fleet.daemons.slice(0, 6);
+  far.forEach(({ membership }) => fleet.farSide.add(membership.self().address));
+  await fleet.clock.advance(300_000);
+  const hidden: string[] = [];
+  fleet.daemons.forEach((daemon) => {
+    const half = fleet.daemons.filter((other) => far.includes(other) === far.includes(daemon));
+    daemon.membership.onChange(() => {
+      const view = Fleet.viewOf(daemon);
+      const lost = half.filter((other) => !view.includes(other.name));
+      hidden.push(...lost.map((other) => `${daemon.name} lost ${other.name}`));
+    });
+  });
+  fleet.farSide.clear();
+  assert.notEqual(await fleet.timeToAgree(DETECTION_BOUND_MS), undefined);
+  assert.deepEqual(hidden, []);
+});
+
 test('a change of state reaches everyone, and a draining target is no longer given', async () => {
   const fleet = await fleetOf(20);
   const [leaver] = fleet.daemons;
--- a/packages/core/src/__tests__/membershipOrders.spec.ts
+++ b/playground/src/__tests__/membershipOrders.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import { Fleet, kill, pause, resume } from './fleet.js';
-import type { FleetDaemon } from './fleet.js';
+import { Fleet, kill, pause, resume } from '../fleet.js';
+import type { FleetDaemon } from '../fleet.js';
 
 /** Longest time in which views agree once faults have ceased, on the manual clock. */
 const AGREEMENT_BOUND_MS = 120_000;
@@ -74,7 +74,7 @@
   return daemons[pick % daemons.length];
 }
 
-async function runStep(fleet: Fleet, { act, pick }: Step, broken: string[]): Promise<void> {
+async function runStep(fleet: Fleet, { act, pick }: Step): Promise<void> {
   const up = fleet.alive().filter((daemon) => daemon.state === 'up');
   const daemon = pickOf(up, pick);
   const paused = pickOf(
@@ -82,7 +82,7 @@
     pick,
   );
   const address = `10.0.0.${1 + (pick % ADDRESSES)}`;
-  if (act === 'join') guardInvariants(await fleet.join(address), broken);
+  if (act === 'join') await fleet.join(address);
   if (act === 'apply') await fleet.apply();
   if (act === 'storeDown') fleet.setStoreDown(true);
   if (act === 'storeUp') fleet.setStoreDown(false);
@@ -112,11 +112,10 @@
 async function runOrder(seed: number, order: Step[]): Promise<void> {
   const fleet = new Fleet(seed);
   const broken: string[] = [];
-  for (let number = 1; number <= 4; number++) {
-    guardInvariants(await fleet.join(`10.0.0.${number}`), broken);
-  }
+  fleet.onStart = (daemon) => guardInvariants(daemon, broken);
+  for (let number = 1; number <= 4; number++) await fleet.join(`10.0.0.${number}`);
   for (const step of order) {
-    await runStep(fleet, step, broken);
+    await runStep(fleet, step);
     await fleet.clock.advance(step.pauseMs);
   }
   await ceaseFaults(fleet);
--- a/packages/core/src/__tests__/targetSubset.spec.ts
+++ b/playground/src/__tests__/targetSubset.spec.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import type { Member } from '../member.js';
-import { chooseTargetSubset, defaultSubsetSize } from '../targetSubset.js';
-import { memberNamed } from './fleet.js';
+import { chooseTargetSubset, defaultSubsetSize } from '@shallotcroft/core';
+import type { Member } from '@shallotcroft/core';
+import { memberNamed } from '../fleet.js';
 
 const { near, far } = defaultSubsetSize;
 
--- a/packages/core/src/__tests__/fleet.ts
+++ b/playground/src/fleet.ts
@@ -1,19 +1,25 @@
-import { createConfigurationKeeper } from '../configurationKeeper.js';
-import type { ConfigurationKeeper } from '../configurationKeeper.js';
-import { silentLogger } from '../logger.js';
-import { ManualClock } from '../manualClock.js';
-import type { Configuration } from '../configuration.js';
-import type { Member } from '../member.js';
-import { createMembership } from '../membership.js';
-import type { Membership } from '../membership.js';
-import { MembershipMethod, peerAddressOf } from '../membershipContext.js';
-import { MemoryNetwork } from '../memoryNetwork.js';
-import type { MemoryPeer } from '../memoryNetwork.js';
-import { MemoryStore } from '../memoryStore.js';
-import type { PeerAddress, PeerCaller } from '../peer.js';
-import { createSeededRandom } from '../random.js';
-import type { RandomSource } from '../random.js';
-import { CONFIGURATION_KEY } from '../storeKeys.js';
+import {
+  CONFIGURATION_KEY,
+  ManualClock,
+  MembershipMethod,
+  MemoryNetwork,
+  MemoryStore,
+  createConfigurationKeeper,
+  createMembership,
+  createSeededRandom,
+  peerAddressOf,
+  silentLogger,
+} from '@shallotcroft/core';
+import type {
+  Configuration,
+  ConfigurationKeeper,
+  Member,
+  Membership,
+  MemoryPeer,
+  PeerAddress,
+  PeerCaller,
+  RandomSource,
+} from '@shallotcroft/core';
 import { PausableClock } from './pausableClock.js';
 
 /** One daemon of a fleet in memory. */
@@ -102,6 +108,9 @@
   /** Watches that daemons open tell nothing. */
   silentWatches = false;
 
+  /** Called with each daemon before it starts. */
+  onStart: ((daemon: FleetDaemon) => void) | undefined;
+
   /** Exchanges of the past, for replays. */
   readonly recorded: unknown[] = [];
 
@@ -145,6 +154,7 @@
     });
     const daemon: FleetDaemon = { name, clock, peer, membership, store, keeper, state: 'up' };
     this.daemons.push(daemon);
+    this.onStart?.(daemon);
     membership
       .start()
       .then(() => keeper.start())
