--- a/packages/core/src/__tests__/membershipOrders.spec.ts
+++ b/playground/src/__tests__/membershipOrders.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import { Fleet, kill, pause, resume } from './fleet.js';
-import type { FleetDaemon } from './fleet.js';
+import { Fleet, kill, pause, resume } from '../fleet.js';
+import type { FleetDaemon } from '../fleet.js';
 
 /** Longest time in which views agree once faults have ceased, on the manual clock. */
 const AGREEMENT_BOUND_MS = 120_000;
@@ -47,14 +47,21 @@
 
 /** Notes what must never happen at one daemon, from its own view. */
 function guardInvariants(daemon: FleetDaemon, broken: string[]): void {
+  const live = new Map<string, number>();
   const buried = new Map<string, number>();
   let revision = 0;
   daemon.membership.onChange(() => {
-    daemon.membership.members().forEach((member) => {
-      const { incarnation, version, state } = member;
-      const last = buried.get(incarnation) ?? -1;
-      if (state === 'gone') buried.set(incarnation, Math.max(last, version));
-      else if (version <= last) broken.push(`${daemon.name} revived ${incarnation}`);
+    const view = daemon.membership.members().filter((member) => member.state !== 'gone');
+    const seen = new Map(view.map(({ incarnation, version }) => [incarnation, version]));
+    live.forEach((version, incarnation) => {
+      if (!seen.has(incarnation)) buried.set(incarnation, version);
+    });
+    live.clear();
+    seen.forEach((version, incarnation) => {
+      live.set(incarnation, version);
+      if (version <= (buried.get(incarnation) ?? -1)) {
+        broken.push(`${daemon.name} revived ${incarnation} at ${version}`);
+      }
     });
   });
   daemon.keeper.onChange((next) => {
@@ -67,7 +74,7 @@
   return daemons[pick % daemons.length];
 }
 
-async function runStep(fleet: Fleet, { act, pick }: Step, broken: string[]): Promise<void> {
+async function runStep(fleet: Fleet, { act, pick }: Step): Promise<void> {
   const up = fleet.alive().filter((daemon) => daemon.state === 'up');
   const daemon = pickOf(up, pick);
   const paused = pickOf(
@@ -75,7 +82,7 @@
     pick,
   );
   const address = `10.0.0.${1 + (pick % ADDRESSES)}`;
-  if (act === 'join') guardInvariants(await fleet.join(address), broken);
+  if (act === 'join') await fleet.join(address);
   if (act === 'apply') await fleet.apply();
   if (act === 'storeDown') fleet.setStoreDown(true);
   if (act === 'storeUp') fleet.setStoreDown(false);
@@ -105,11 +112,10 @@
 async function runOrder(seed: number, order: Step[]): Promise<void> {
   const fleet = new Fleet(seed);
   const broken: string[] = [];
-  for (let number = 1; number <= 4; number++) {
-    guardInvariants(await fleet.join(`10.0.0.${number}`), broken);
-  }
+  fleet.onStart = (daemon) => guardInvariants(daemon, broken);
+  for (let number = 1; number <= 4; number++) await fleet.join(`10.0.0.${number}`);
   for (const step of order) {
-    await runStep(fleet, step, broken);
+    await runStep(fleet, step);
     await fleet.clock.advance(step.pauseMs);
   }
   await ceaseFaults(fleet);
