test(playground): golden sessions of calls over gateway and guard

Cause: the promises on attempts, "not run", whole answers, deadlines, cancellation and silent connections are to be shown on whole sessions.

A session runs the real gateway and guard of each host on a manual clock and an in-memory network with faults by link; its transcript is compared with a golden file and, whatever that says, checked for invariants counted at the targets.

Ruled out: whole daemons with membership in the golden sessions (their transcripts would change with every gossip interval).

--- /dev/null
+++ b/playground/src/__tests__/sessions.spec.ts
@@ -0,0 +1,158 @@
+import { test } from 'node:test';
+import type { LinkFault } from '../callNetwork.js';
+import { checkSession } from '../session.js';
+import { addHosts, daemonsOf, sessionDeployments, targetsOf } from '../sessionDeployments.js';
+import type { SessionDeployment } from '../sessionDeployments.js';
+import type { SessionWorld } from '../sessionWorld.js';
+
+type Script = (world: SessionWorld, deployment: SessionDeployment) => Promise<void>;
+
+const PAUSE_MS = 5000;
+
+function setFaults(world: SessionWorld, ends: string[], fault: LinkFault, times = Infinity): void {
+  ends.forEach((end) => world.network.setFault('*', end, fault, times));
+}
+
+/** Makes the call that matters most and lets it end. */
+async function callCritical(world: SessionWorld, deployment: SessionDeployment, root: string) {
+  const via = `${deployment.chain[0]}-0`;
+  const answer = world.call({ root, call: deployment.critical, via });
+  await world.run(PAUSE_MS);
+  await answer;
+}
+
+const scripts: Record<string, Script> = {
+  'attempts end to end are bounded': async (world, deployment) => {
+    const deep = daemonsOf(deployment.chain[2]);
+    addHosts(world, deployment, { ownRetries: 3 });
+    setFaults(world, deep, 'answerLost');
+    await callCritical(world, deployment, 'every-answer-lost');
+    setFaults(world, deep, 'cut');
+    await callCritical(world, deployment, 'nobody-reached');
+    world.network.clearFaults();
+    setFaults(world, deep, 'answerLost', 1);
+    await callCritical(world, deployment, 'first-answers-lost');
+  },
+
+  'not run is told only of what was not run': async (world, deployment) => {
+    const [top, middle, deep] = deployment.chain;
+    addHosts(world, deployment, { relaysFailures: true });
+    setFaults(world, daemonsOf(top), 'cut');
+    await callCritical(world, deployment, 'first-daemon-cut');
+    world.network.clearFaults();
+    world.network.setFault(`${top}-0`, `${top}-0:1`, 'cut');
+    world.network.setFault(`${top}-0`, `${top}-1:1`, 'cut');
+    await callCritical(world, deployment, 'hops-cut');
+    world.network.clearFaults();
+    setFaults(world, targetsOf(top), 'cut');
+    await callCritical(world, deployment, 'targets-cut');
+    world.network.clearFaults();
+    setFaults(world, daemonsOf(deep), 'cut');
+    await callCritical(world, deployment, 'relays-not-run-of-below');
+    world.network.clearFaults();
+    world.network.setFault(`${top}-0`, `${top}-0:1`, 'answerLost');
+    world.network.setFault(`${top}-0`, `${top}-1:1`, 'answerLost');
+    await callCritical(world, deployment, 'outcome-unknown');
+    world.network.clearFaults();
+    world.changeBehaviour(top, { refuses: true });
+    await callCritical(world, deployment, 'target-refuses');
+    world.changeBehaviour(top, { refuses: false, overloaded: true });
+    await callCritical(world, deployment, 'target-says-busy-after-it-began');
+    world.changeBehaviour(top, { overloaded: false });
+    world.drain(middle);
+    await callCritical(world, deployment, 'middle-drains');
+    world.drain(top);
+    await callCritical(world, deployment, 'top-drains');
+  },
+
+  'a caller gets its own whole answer or an error': async (world, deployment) => {
+    addHosts(world, deployment, { concurrent: true });
+    for (const fault of ['truncated', 'foreign', 'answerLost'] as const) {
+      for (const service of deployment.chain) {
+        setFaults(world, [...daemonsOf(service), ...targetsOf(service)], fault, 1);
+        const root = `${fault}-at-${service}`;
+        const other = world.call({
+          root: `${root}-other`,
+          call: deployment.low,
+          via: `${deployment.chain[0]}-1`,
+        });
+        await callCritical(world, deployment, root);
+        await other;
+        world.network.clearFaults();
+      }
+    }
+  },
+
+  'a caller that has gone cancels the work below': async (world, deployment) => {
+    addHosts(world, deployment, { workMs: 100 });
+    const via = `${deployment.chain[0]}-0`;
+    for (const leavesAfterMs of [50, 150, 250]) {
+      const root = `leaves-after-${leavesAfterMs}`;
+      const answer = world.call({ root, call: deployment.low, via, leavesAfterMs });
+      await world.run(PAUSE_MS);
+      await answer;
+      const critical = `critical-${root}`;
+      const kept = world.call({ root: critical, call: deployment.critical, via, leavesAfterMs });
+      await world.run(PAUSE_MS);
+      await kept;
+    }
+  },
+
+  'a retry with the same key gets the answer of the first': async (world, deployment) => {
+    addHosts(world, deployment, { workMs: 100 });
+    const via = `${deployment.chain[0]}-0`;
+    const call = { call: deployment.critical, via };
+    const first = world.call({ ...call, root: 'first', leavesAfterMs: 150 });
+    await world.run(200);
+    const joins = world.call({ ...call, root: 'joins', keyOf: 'first' });
+    await world.run(PAUSE_MS);
+    const late = world.call({ ...call, root: 'late', keyOf: 'first' });
+    await world.run(PAUSE_MS);
+    await Promise.all([first, joins, late]);
+  },
+
+  'a child never outlives its parent': async (world, deployment) => {
+    const [top, middle, deep] = deployment.chain;
+    addHosts(world, deployment);
+    world.changeBehaviour(deep, { workMs: 500 });
+    for (const patienceMs of [0, 3, 6, 12, 100, 600]) {
+      const call = { call: deployment.low, via: `${top}-0`, patienceMs };
+      const answer = world.call({ ...call, root: `patience-${patienceMs}` });
+      await world.run(PAUSE_MS);
+      await answer;
+    }
+    world.changeBehaviour(middle, { workMs: 4000 });
+    const slow = world.call({ call: deployment.low, via: `${top}-0`, root: 'slow-middle' });
+    await world.run(PAUSE_MS);
+    await slow;
+  },
+
+  'a silent connection is noticed and is not a dead peer': async (world, deployment) => {
+    addHosts(world, deployment);
+    const via = `${deployment.chain[0]}-0`;
+    for (const fault of ['silent', 'answerSilent'] as const) {
+      for (const service of deployment.chain) {
+        setFaults(world, daemonsOf(service), fault, 1);
+        const root = `${fault}-to-${service}`;
+        const answer = world.call({ root, call: deployment.low, via });
+        await world.run(PAUSE_MS);
+        await answer;
+        await callCritical(world, deployment, `${root}-critical`);
+        world.network.clearFaults();
+      }
+    }
+    await callCritical(world, deployment, 'all-is-well-again');
+  },
+};
+
+sessionDeployments.forEach((deployment) => {
+  Object.entries(scripts).forEach(([promise, script]) => {
+    test(`${deployment.name}: ${promise}`, async () => {
+      await checkSession({
+        name: `${deployment.name}-${promise.replaceAll(' ', '-')}`,
+        configuration: deployment.configuration,
+        script: (world) => script(world, deployment),
+      });
+    });
+  });
+});
--- /dev/null
+++ b/playground/src/networkTransport.ts
@@ -0,0 +1,39 @@
+import { CallTransport, Err, ResultCode, createFailure } from '@shallotcroft/core';
+import type {
+  CallAnswer,
+  CallRequest,
+  Endpoint,
+  Failure,
+  Result,
+  SendBounds,
+} from '@shallotcroft/core';
+import { nameOf } from './callNetwork.js';
+import type { CallNetwork } from './callNetwork.js';
+import { NetworkSend } from './networkSend.js';
+
+/** The transport of one process on a `CallNetwork`. */
+export class NetworkTransport extends CallTransport {
+  constructor(
+    private readonly network: CallNetwork,
+    private readonly from: string,
+  ) {
+    super();
+  }
+
+  async send(
+    to: Endpoint,
+    path: string,
+    request: CallRequest,
+    bounds: SendBounds,
+  ): Promise<Result<CallAnswer, Failure>> {
+    if (bounds.signal.aborted) {
+      return Err(createFailure(ResultCode.notRunCancelled, 'cancelled before it was sent'));
+    }
+    return new NetworkSend(this.network, this.from, nameOf(to), bounds).run(path, request);
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  async close(): Promise<void> {
+    // Nothing is held open.
+  }
+}
