fix(core): own retries of targets cost tokens; a target's headers can't say "not run"

Now the same child again is a further attempt and costs a token, or is refused with the new code 1010; only the daemon says what the result code is.

Ruled out: a cap on children by name (ends honest fan-out, still multiplies).

--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -86,7 +86,10 @@
     return Ok({ policy, context, allowance, signal: undefined, settle: () => undefined });
   }
 
-  /** Name of a child within one execution of its parent, the same when the parent runs again. */
+  /**
+   * Name of a child within one execution of its parent, the same when the parent runs again.
+   * The same child once more is a further attempt, which costs a token.
+   */
   function childLabel(
     request: CallRequest,
     policy: CallPolicy,
@@ -101,7 +104,7 @@
       const message = `${parent.policy.name} calls ${policy.name} more than once: send a different ${CallHeader.label} with each`;
       return failed(ResultCode.badChildLabelMissing, message);
     }
-    return Ok(unlabelled && started > 0 ? `-${started}` : label.value);
+    return label;
   }
 
   function childOrigin(
@@ -118,8 +121,8 @@
     if (keyed.isErr()) return keyed;
     const grant = parent.allowance.grantForChild(`${policy.name}#${label.value}`);
     if (!grant) {
-      const message = `no attempt is left for running ${policy.name} again below ${parent.policy.name}`;
-      return failed(ResultCode.notRunShed, message);
+      const message = `no attempt is left for making ${policy.name} again below ${parent.policy.name}; if it is another call, send a different ${CallHeader.label}`;
+      return failed(ResultCode.notRunNoAttemptLeft, message);
     }
     const allowance = new AttemptAllowance(grant.tokens, policy.children.length);
     parent.below.begin();
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -171,37 +171,41 @@
     return options.oneShot(call.policy, call.context, (notAfter) => admitAndRun(kept, notAfter));
   }
 
-  function finish(answer: CallAnswer, request: CallRequest, tokensLeft: number): CallAnswer {
-    const { headers } = answer;
-    const passed = passedHeaders(headers);
-    passed[CallHeader.code] = headers[CallHeader.code] ?? String(ResultCode.ok);
-    passed[CallHeader.tokensLeft] = String(tokensLeft);
-    passed[CallHeader.shedLevel] = String(admission.shedLevel());
-    passed[CallHeader.request] = request.headers[CallHeader.request] ?? '';
-    return { ...answer, headers: passed };
+  /** Only this daemon says what the code is: a target may pass on headers of calls that it made. */
+  function finish(
+    result: Result<CallAnswer, Failure>,
+    request: CallRequest,
+    tokensLeft: number,
+  ): CallAnswer {
+    const answer = result.isOk() ? result.value : answerOfFailure(result.error);
+    const headers = passedHeaders(answer.headers);
+    headers[CallHeader.code] = String(result.isOk() ? ResultCode.ok : result.error.code);
+    headers[CallHeader.tokensLeft] = String(tokensLeft);
+    headers[CallHeader.shedLevel] = String(admission.shedLevel());
+    headers[CallHeader.request] = request.headers[CallHeader.request] ?? '';
+    return { ...answer, headers };
   }
 
   return {
     handle: async (request, signal) => {
       const context = decodeHop(request.headers, clock.now());
-      if (context.isErr()) return finish(answerOfFailure(context.error), request, 0);
+      if (context.isErr()) return finish(context, request, 0);
       const policy = options.configuration()?.calls[request.call];
       if (!policy) {
         const message = `this daemon has no configuration for ${request.call} yet`;
-        const failure = createFailure(ResultCode.configurationMissing, message);
-        return finish(answerOfFailure(failure), request, context.value.tokens);
+        const missing = failed(ResultCode.configurationMissing, message);
+        return finish(missing, request, context.value.tokens);
       }
       const allowance = new AttemptAllowance(context.value.tokens, policy.children.length);
       const call: GuardedCall = { request, policy, context: context.value, allowance, signal };
       const result = await run(call);
-      const answer = result.isOk() ? result.value : answerOfFailure(result.error);
       options.logger.log('debug', 'call left the target', {
         request: call.context.root,
         call: policy.name,
         code: result.isOk() ? ResultCode.ok : result.error.code,
         importance: call.context.importance,
       });
-      return finish(answer, request, allowance.close());
+      return finish(result, request, allowance.close());
     },
   };
 }
--- a/packages/core/src/resultCode.ts
+++ b/packages/core/src/resultCode.ts
@@ -12,6 +12,7 @@
   notRunHomeUnavailable: 1007,
   notRunTargetRefused: 1008,
   notRunCancelled: 1009,
+  notRunNoAttemptLeft: 1010,
 
   // 2xxx: the outcome is unknown; the call may have run, wholly or in part.
   unknownTimeout: 2001,
--- a/packages/core/src/retryDecision.ts
+++ b/packages/core/src/retryDecision.ts
@@ -14,6 +14,7 @@
 const finalCodes = new Set<ResultNumber>([
   ResultCode.notRunDeadline,
   ResultCode.notRunCancelled,
+  ResultCode.notRunNoAttemptLeft,
   ResultCode.unknownCancelled,
   ResultCode.unknownAnswerTooLarge,
   ResultCode.unknownKeyMayHaveRun,
--- a/playground/src/__tests__/sessions.spec.ts
+++ b/playground/src/__tests__/sessions.spec.ts
@@ -24,7 +24,7 @@
 const scripts: Record<string, Script> = {
   'attempts end to end are bounded': async (world, deployment) => {
     const deep = daemonsOf(deployment.chain[2]);
-    addHosts(world, deployment, { ownRetries: 3 });
+    addHosts(world, deployment, { ownRetries: 20 });
     setFaults(world, deep, 'answerLost');
     await callCritical(world, deployment, 'every-answer-lost');
     setFaults(world, deep, 'cut');
--- a/playground/src/sessionTarget.ts
+++ b/playground/src/sessionTarget.ts
@@ -70,12 +70,15 @@
   }
 
   async function callBelow(name: string, arrival: Arrival): Promise<AnswerPart> {
-    for (let retry = 0; ; retry++) {
-      const answer = await callOnce(name, arrival);
-      if (answer.status === 200) return JSON.parse(answer.body.toString()) as AnswerPart;
-      if (retry === behaviour.ownRetries) throw new FailedChild(answer);
-      log(`${host} tries ${name} again by itself`);
+    let answer = await callOnce(name, arrival);
+    let retries = 0;
+    while (answer.status !== 200 && retries < behaviour.ownRetries) {
+      retries += 1;
+      answer = await callOnce(name, arrival);
     }
+    if (retries > 0) log(`${host} called ${name} ${retries} more times by itself`);
+    if (answer.status !== 200) throw new FailedChild(answer);
+    return JSON.parse(answer.body.toString()) as AnswerPart;
   }
 
   async function callAllBelow(names: string[], arrival: Arrival): Promise<AnswerPart[]> {
@@ -127,7 +130,9 @@
       return answer;
     } catch (error) {
       finish(execution, arrival.signal.aborted ? 'cancelled' : 'failed');
-      if (error instanceof FailedChild && behaviour.relaysFailures) return error.answer;
+      if (error instanceof FailedChild && behaviour.relaysFailures) {
+        return { ...error.answer, status: 502 };
+      }
       return answerOf(502, 'a call below failed');
     }
   };
