--- a/packages/core/src/retryDecision.ts
+++ b/packages/core/src/retryDecision.ts
@@ -27,7 +27,7 @@
 export function mayRetry({ code, execution, sameHome }: RetryCase): boolean {
   if (finalCodes.has(code)) return false;
   // Another daemon has become home; it is asked next.
-  if (code === ResultCode.notHome) return true;
+  if (code === ResultCode.notHome) return sameHome;
   if (isOutcomeUnknown(code)) return execution === 'repeatable' || sameHome;
   return isNotRun(code) && code < ResultCode.badRequest;
 }
--- a/playground/src/__tests__/leaving.spec.ts
+++ b/playground/src/__tests__/leaving.spec.ts
@@ -85,8 +85,7 @@
     histograms: createHistograms(),
     logger: silentLogger,
     configuration: () => configuration,
-    oneShot: (_policy, _context, work) => work(Infinity),
-    incarnation: membership.self().incarnation,
+    oneShot: (_key, execute) => execute({ beginWithinMs: () => Infinity }),
   });
   registry.announce({ service: 'catalogue', address: '127.0.0.1', port: 9000 });
   return { guard, registry, executions: () => executions };
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -15,7 +15,6 @@
   createTargetChooser,
   createTargetRegistry,
   createTargetRouter,
-  deriveKey,
   mintKey,
   silentLogger,
 } from '@shallotcroft/core';
@@ -256,12 +255,16 @@
     };
   }
 
+  private homeOf(service: string, shard: number): Member | undefined {
+    const targets = this.directory().targetsOf(service);
+    return targets[shard % targets.length];
+  }
+
   /** Stands in for the home of the keys: a key runs once, and a further attempt joins it. */
-  private readonly oneShot: OneShotRunner = (_policy, context, work) => {
-    const key = context.key ?? '';
+  private readonly oneShot: OneShotRunner = (key, execute) => {
     const running = this.outcomes.get(key);
     if (running) return running;
-    const outcome = work(Infinity).then((result) => {
+    const outcome = execute({ beginWithinMs: () => Infinity }).then((result) => {
       if (result.isErr() && result.error.code < 2000) this.outcomes.delete(key);
       return result;
     });
@@ -289,22 +292,22 @@
       logger: silentLogger,
       configuration,
       oneShot: this.oneShot,
-      incarnation: host.name,
     });
     const gateway = createGateway({
       clock,
       random,
       transport,
       router: createTargetRouter({
-        directory: this.directory(),
+        subsets: this.directory(),
+        homes: { homeOf: (service, shard) => this.homeOf(service, shard), close: () => undefined },
+        configuration,
         chooser: createTargetChooser({ dataCentre: 'one', random }),
         shedding: createCallerShedding(clock, random),
       }),
       retryBudget: new RetryBudget(clock),
       histograms,
       logger: silentLogger,
-      incarnation: host.name,
-      originOf: createCallOrigins({ clock, configuration, runningCalls, childKey: deriveKey }),
+      originOf: createCallOrigins({ clock, configuration, runningCalls }),
     });
     this.network.listen(host.daemon, async ({ path, request, signal }) => {
       if (path.startsWith('/hop/')) return guard.handle(request, signal);
