feat(core): the platform's store by the etcd v3 HTTP/JSON gateway

Reads are tried at every endpoint and at least twice; a write is tried again only where nothing was sent (connection refused, no connection), else it is storeOutcomeUnknown. A lost answer drops all connections to its endpoint, since one that went silent seldom goes alone while new ones work. A watch has a connection of its own, opens a new one after 3 s without a message, and goes on from the revision after the last it told; after compaction it lists again and tells what has gone.

Ruled out: trusting progress_notify for silence (its interval is the platform's setting, 10 min unless changed), and comparing the watch with reads (a read for each bound; a new watch costs the same and mends it).

Each proof fails with its mechanism off: without the silence timer, the silent watch; without new connections, the silent connections and the passed-over endpoint; with writes sent again after a loss, the unknown outcome; with refusals counted as unknown, the store that is down; without the comparison at a new listing, the watch over a compaction. The in-process store now stops its lease timers at close.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -169,3 +169,5 @@
 export type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
 export { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from './interimAnswers.js';
 export type { InterimAnswers } from './interimAnswers.js';
+export { EtcdStore } from './etcdStore.js';
+export type { EtcdStoreOptions } from './etcdStore.js';
--- a/packages/core/src/memoryDatabase.ts
+++ b/packages/core/src/memoryDatabase.ts
@@ -114,6 +114,11 @@
     this.compacted = this.latest;
   }
 
+  /** Stops the timers of the leases; keys stay. */
+  close(): void {
+    this.leases.forEach((lease) => lease.timer.cancel());
+  }
+
   private startLeaseTimer(lease: string, ttlSeconds: number): Timer {
     return this.clock.startTimer(ttlSeconds * 1000, () => this.expire(lease));
   }
--- /dev/null
+++ b/playground/src/__tests__/etcdStore.spec.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import { EtcdStore, ResultCode, createSeededRandom, systemClock } from '@shallotcroft/core';
+import type { StoreEntry } from '@shallotcroft/core';
+import { startStoreStandIn } from '../storeStandIn.js';
+import type { StoreStandIn } from '../storeStandIn.js';
+
+const POLL_MS = 5;
+const MOST_POLLS = 2000;
+const SILENCE_MS = 60;
+const TIMEOUT_MS = 300;
+const DEAD_ENDPOINT = 'http://127.0.0.1:1';
+
+async function start(context: TestContext, dead: string[] = []) {
+  const standIn = await startStoreStandIn({ clock: systemClock });
+  const store = new EtcdStore({
+    endpoints: [...dead, `http://127.0.0.1:${standIn.port}`],
+    clock: systemClock,
+    random: createSeededRandom(1),
+    timeoutMs: TIMEOUT_MS,
+    silenceMs: SILENCE_MS,
+  });
+  context.after(async () => {
+    await store.close();
+    await standIn.close();
+  });
+  return { standIn, store };
+}
+
+async function until(condition: () => boolean) {
+  for (let poll = 0; poll < MOST_POLLS; poll++) {
+    if (condition()) return;
+    await systemClock.sleep(POLL_MS);
+  }
+  assert.fail('what was waited for never came');
+}
+
+function startWatch(store: EtcdStore) {
+  const seen = new Map<string, string>();
+  const watch = store.watch('a/', (entry: StoreEntry) => seen.set(entry.key, entry.value));
+  return { seen, watch };
+}
+
+function write(standIn: StoreStandIn, key: string, value: string) {
+  const expected = standIn.database.get(key)?.modRevision ?? 0;
+  assert.ok(standIn.database.swap(key, expected, value).swapped);
+}
+
+test('entries, compares and leases pass the gateway whole', async (context) => {
+  const { store } = await start(context);
+  const lease = (await store.grantLease(60)).unwrap();
+  const first = (await store.swap('a/é', 0, 'größe', lease)).unwrap();
+  assert.deepEqual(first.current, { key: 'a/é', value: 'größe', modRevision: 1 });
+  assert.deepEqual((await store.get('a/é')).unwrap(), first.current);
+  const lost = (await store.swap('a/é', 0, 'x')).unwrap();
+  assert.deepEqual(lost, { swapped: false, current: first.current });
+  assert.equal((await store.keepLease(lease)).unwrap(), 60);
+  assert.equal((await store.keepLease('99')).unwrap(), 0);
+  const unbound = await store.swap('b', 0, 'x', '99');
+  assert.equal(unbound.unwrapErr().code, ResultCode.storeUnavailable);
+  assert.deepEqual((await store.list('a/')).unwrap(), [first.current]);
+  assert.equal((await store.remove('a/é', 1)).unwrap().swapped, true);
+  assert.equal((await store.get('a/é')).unwrap(), undefined);
+});
+
+test('a store that refuses connections has written nothing', async (context) => {
+  const { standIn, store } = await start(context);
+  await standIn.setFaults({ down: true });
+  const written = await store.swap('a', 0, 'x');
+  const read = await store.get('a');
+  assert.equal(written.unwrapErr().code, ResultCode.storeUnavailable);
+  assert.equal(read.unwrapErr().code, ResultCode.storeUnavailable);
+  await standIn.setFaults({ down: false });
+  assert.equal((await store.swap('a', 0, 'x')).unwrap().swapped, true);
+});
+
+test('a write without an answer is unknown, whatever became of it', async (context) => {
+  const { standIn, store } = await start(context);
+  for (const effect of ['early', 'late', 'never'] as const) {
+    await standIn.setFaults({ loseNextAnswer: effect });
+    const written = await store.swap(effect, 0, 'x');
+    assert.equal(written.unwrapErr().code, ResultCode.storeOutcomeUnknown);
+  }
+  await standIn.setFaults({ landLateWrites: true });
+  const keys = (await store.list('')).unwrap().map((entry) => entry.key);
+  assert.deepEqual(keys, ['early', 'late']);
+});
+
+test('an endpoint that refuses is passed over, also for writes', async (context) => {
+  const { store } = await start(context, [DEAD_ENDPOINT]);
+  assert.equal((await store.swap('a', 0, 'x')).unwrap().swapped, true);
+});
+
+test('silent connections do not make a dead store', async (context) => {
+  const { standIn, store } = await start(context);
+  await Promise.all([store.get('a'), store.get('b'), store.get('c')]);
+  await standIn.setFaults({ silenceConnections: true });
+  assert.equal((await store.get('a')).unwrap(), undefined);
+  assert.equal((await store.swap('a', 0, 'x')).unwrap().swapped, true);
+});
+
+test('a watch goes on after a cut, also when the changes are forgotten', async (context) => {
+  const { standIn, store } = await start(context);
+  write(standIn, 'a/1', 'x');
+  const { seen, watch } = startWatch(store);
+  await until(() => seen.get('a/1') === 'x');
+  write(standIn, 'a/2', 'y');
+  await until(() => seen.get('a/2') === 'y');
+  await standIn.setFaults({ down: true });
+  write(standIn, 'a/2', 'z');
+  await standIn.setFaults({ down: false });
+  await until(() => seen.get('a/2') === 'z');
+  await standIn.setFaults({ down: true });
+  standIn.database.remove('a/1', 1);
+  write(standIn, 'a/3', 'w');
+  await standIn.setFaults({ compact: true, down: false });
+  await until(() => seen.get('a/1') === '' && seen.get('a/3') === 'w');
+  watch.close();
+});
+
+test('a watch whose connection has gone silent tells later changes', async (context) => {
+  const { standIn, store } = await start(context);
+  const { seen, watch } = startWatch(store);
+  write(standIn, 'a/1', 'x');
+  await until(() => seen.get('a/1') === 'x');
+  await standIn.setFaults({ silenceConnections: true });
+  write(standIn, 'a/1', 'y');
+  await until(() => seen.get('a/1') === 'y');
+  watch.close();
+});
--- a/playground/src/storeStandIn.ts
+++ b/playground/src/storeStandIn.ts
@@ -120,6 +120,7 @@
   async close(): Promise<void> {
     await this.stopStore();
     await stopListening(this.adminServer);
+    this.database.close();
   }
 
   /** Changes what is wrong with the store. */
