--- a/packages/core/src/etcdClient.ts
+++ b/packages/core/src/etcdClient.ts
@@ -100,7 +100,8 @@
         signal: expired.signal,
       });
       const text = await answer.body.text();
-      if (answer.statusCode >= HTTP_CLIENT_ERROR) return Err(statusErrorOf(answer.statusCode, text));
+      const status = answer.statusCode;
+      if (status >= HTTP_CLIENT_ERROR) return Err(statusErrorOf(status, text));
       return Ok(JSON.parse(text) as T);
     } catch (error) {
       return Err(attemptErrorOf(error as Error));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -168,3 +168,4 @@
 export { MembershipMethod, peerAddressOf } from './membershipContext.js';
 export { applyConfigurationDelta, createConfigurationDelta } from './configurationDelta.js';
 export type { ConfigurationDelta } from './configurationDelta.js';
+export type { EtcdStoreOptions } from './etcdStore.js';
