perf(core): an attempt gets all tokens but one, not half

Cause: in the golden sessions a chain three deep with three tokens had none left for its end, so a single lost answer there failed the whole call.

The bound is untouched: the same 2,000 generated trees hold. Each host of a session has a random source of its own now, so that changes spread less.

--- a/packages/core/src/attemptAllowance.ts
+++ b/packages/core/src/attemptAllowance.ts
@@ -40,10 +40,14 @@
     return true;
   }
 
-  /** Hands half of what is left to an attempt; the rest is kept for retries here. */
+  /**
+   * Hands an attempt what is left, but for one token when there are several: should the answer
+   * be lost, and all that was handed out with it, one retry remains here.
+   */
   grantForAttempt(): AttemptGrant {
-    const tokens = this.children === 0 ? 0 : Math.floor(this.left / 2);
-    return this.grant(tokens);
+    if (this.children === 0) return this.grant(0);
+    const kept = this.left > 1 ? 1 : 0;
+    return this.grant(this.left - kept);
   }
 
   /**
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -273,7 +273,9 @@
   };
 
   private listen(host: SessionHost): void {
-    const { clock, random } = this;
+    const { clock } = this;
+    // A source of its own, so that a change at one host leaves the others' choices alone.
+    const random = createSeededRandom(SEED + this.hosts.size);
     const transport = this.network.transportOf(host.name);
     const runningCalls = createRunningCalls();
     const histograms = createHistograms();
