--- a/packages/core/src/etcdClient.ts
+++ b/packages/core/src/etcdClient.ts
@@ -100,7 +100,8 @@
         signal: expired.signal,
       });
       const text = await answer.body.text();
-      if (answer.statusCode >= HTTP_CLIENT_ERROR) return Err(statusErrorOf(answer.statusCode, text));
+      if (answer.statusCode >= HTTP_CLIENT_ERROR)
+        return Err(statusErrorOf(answer.statusCode, text));
       return Ok(JSON.parse(text) as T);
     } catch (error) {
       return Err(attemptErrorOf(error as Error));
