feat(core): shedding level by measured rates, levels further down, overload measurement

Cause: the first level controller rose again while its queue was still draining and reached the most important class; the limits learnt from calls that had begun under another limit. Ruled out: judging by the peak of the waiting room (rises long after callers have slowed down); a cold-start ramp beyond the operators' slots; refusing locally what has already begun work. Conclusion: the level compares admissions with the arrivals that it was meant for; a call whose services further down would refuse it is not begun (levelBelow).

--- a/packages/core/src/adaptiveLimit.ts
+++ b/packages/core/src/adaptiveLimit.ts
@@ -6,6 +6,8 @@
 /** Bounds of an adaptive limit. */
 export interface LimitBounds {
   initial: number;
+  /** Up to here a cold start doubles the limit. */
+  rampTo: number;
   minimum: number;
   maximum: number;
 }
@@ -31,8 +33,8 @@
 const SLOW_FAILURE = 2;
 /** A halved limit that keeps this share of the latency was not queueing. */
 const UNCHANGED_LATENCY_SHARE = 0.75;
-/** Rounds at half the limit while the floor is measured again. */
-const PROBE_ROUNDS = 2;
+/** Share of the limit at which the floor is measured again, for one round. */
+const PROBE_SHARE = 0.7;
 
 interface Descent {
   fromLimit: number;
@@ -42,7 +44,7 @@
 /**
  * A limit found from measured latency against its recent floor, and from the target's refusals.
  * It ramps from a cold start, does not grow while it is not used, and measures the floor again at
- * half the limit now and then, so that a standing queue is not taken for the floor.
+ * less than the limit now and then, so that a standing queue is not taken for the floor.
  */
 export abstract class AdaptiveLimit extends ConcurrencyLimit {
   private readonly floor = new LatencyFloor();
@@ -51,12 +53,14 @@
 
   private ramping = true;
 
-  private probeRoundsLeft = 0;
+  private probing = false;
 
   private descent: Descent | undefined;
 
   private round: RoundSums | undefined;
 
+  private changedAt = -Infinity;
+
   constructor(private readonly bounds: LimitBounds) {
     super();
     this.limit = this.clamp(bounds.initial);
@@ -66,20 +70,30 @@
   protected abstract next(round: LatencyRound): number;
 
   override current(): number {
-    const limit = this.probeRoundsLeft > 0 ? this.limit / 2 : this.limit;
+    const limit = this.probing ? this.limit * PROBE_SHARE : this.limit;
     return Math.max(this.bounds.minimum, Math.floor(limit));
   }
 
+  override settled(): number {
+    return Math.floor(this.limit);
+  }
+
   override observe(sample: LimitSample): void {
     this.round ??= new RoundSums(sample.at);
     this.round.peakInFlight = Math.max(this.round.peakInFlight, sample.inFlight);
     if (sample.outcome === 'targetRefused') this.round.refusals += 1;
     else if (this.counts(sample)) this.round.add(sample);
+    const before = this.current();
     if (this.roundIsOver(this.round, sample.at)) this.endRound(this.round, sample.at);
+    if (this.current() !== before) this.changedAt = sample.at;
   }
 
-  /** A quick failure says nothing of the target's queue; a slow one is at least that slow. */
+  /**
+   * A call that began under another limit says nothing of this one, and a quick failure nothing of
+   * the target's queue; a slow failure is at least that slow.
+   */
   private counts(sample: LimitSample): boolean {
+    if (sample.at - sample.totalMs < this.changedAt) return false;
     if (sample.outcome === 'completed') return true;
     return sample.ownMs > SLOW_FAILURE * this.floor.current();
   }
@@ -97,12 +111,12 @@
       return;
     }
     this.floor.observe(round.meanOwnMs());
-    if (this.probeRoundsLeft > 0) {
-      this.probeRoundsLeft -= 1;
+    if (this.probing) {
+      this.probing = false;
       return;
     }
     this.adjust(round);
-    if (this.floor.turnWindow(now) && this.wasUsed(round)) this.probeRoundsLeft = PROBE_ROUNDS;
+    this.probing = this.floor.turnWindow(now) && this.wasUsed(round);
   }
 
   private cutForRefusals(round: RoundSums): void {
@@ -114,9 +128,10 @@
   private adjust(round: RoundSums): void {
     const totalMs = round.meanTotalMs();
     const excessMs = Math.max(0, round.meanOwnMs() - this.floor.current());
-    if (excessMs > RAMP_QUEUE_SHARE * totalMs) this.ramping = false;
+    const queueing = excessMs > RAMP_QUEUE_SHARE * totalMs;
+    if (queueing || this.limit >= this.bounds.rampTo) this.ramping = false;
     const proposed = this.ramping
-      ? this.limit * 2
+      ? Math.min(this.limit * 2, this.bounds.rampTo)
       : this.next({ limit: this.limit, totalMs, excessMs });
     if (proposed > this.limit && !this.wasUsed(round)) return;
     const before = this.limit;
@@ -134,11 +149,12 @@
     if (!this.descent) return;
     const halved = before <= Math.max(this.descent.fromLimit / 2, this.bounds.minimum);
     if (!halved) return;
-    if (ownMs > UNCHANGED_LATENCY_SHARE * this.descent.ownMs) {
+    const unchanged = ownMs > UNCHANGED_LATENCY_SHARE * this.descent.ownMs;
+    if (unchanged) {
       this.floor.relearn(ownMs);
       this.limit = this.clamp(this.descent.fromLimit);
     }
-    this.descent = undefined;
+    this.descent = this.limit < before ? { fromLimit: before, ownMs } : undefined;
   }
 
   private wasUsed(round: RoundSums): boolean {
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -11,6 +11,8 @@
   deadlineAt: number;
   /** Aborted when the caller has gone. */
   signal: AbortSignal;
+  /** Level of the services that this call will need; below it the call is not begun. */
+  levelBelow?: () => number;
 }
 
 /** How an admitted call ended, as the limiter should see it. */
--- a/packages/core/src/concurrencyLimit.ts
+++ b/packages/core/src/concurrencyLimit.ts
@@ -18,6 +18,11 @@
   /** The limit in force; whole, at least 1, or infinite. */
   abstract current(): number;
 
+  /** The limit without short excursions that serve to measure. */
+  settled(): number {
+    return this.current();
+  }
+
   /** Learns from a finished call. */
   abstract observe(sample: LimitSample): void;
 }
--- a/packages/core/src/latencyFloor.ts
+++ b/packages/core/src/latencyFloor.ts
@@ -1,4 +1,4 @@
-const WINDOW_MS = 5000;
+const WINDOW_MS = 10_000;
 
 /**
  * The lowest recent latency: the least of the present window and the one before, so that a target
--- a/packages/core/src/shedLevel.ts
+++ b/packages/core/src/shedLevel.ts
@@ -28,13 +28,19 @@
 
 /** What was measured at the target since the level was last adjusted. */
 export interface Pressure {
-  /** Calls waiting as a share of the waiting room. */
-  waitingShare: number;
+  /** Calls that wait now. */
+  waiting: number;
+  /** Size of the waiting room. */
+  room: number;
+  /** Calls that reached the target. */
+  admitted: number;
   /** Calls that were refused because too many came. */
-  refusals: number;
+  refused: number;
+  /** Share of the limit that is in use. */
+  used: number;
 }
 
-/** How fast the level follows the pressure. */
+/** How the level follows the pressure. */
 export interface ShedLevelPace {
   /** Largest number of places by which the level falls in one step. */
   maxFall: number;
@@ -46,21 +52,29 @@
 
 /** Share of past arrivals that is remembered at each step. */
 const MEMORY = 0.7;
-/** Share of the arrivals at the level that goes on when the level rises. */
-const RISE_KEEPS = 0.92;
+/** Steps in which a queue that is too long or too short is to be put right. */
+const CORRECTION_STEPS = 4;
+/** Least share of the arrivals that is kept in one step. */
+const MIN_KEPT = 0.15;
+/** Places by which the level falls at first. */
+const FIRST_FALL = 2;
+/** Places by which the level may fall for each doubling of the arrivals that there is room for. */
+const FALL_PER_ROOM = 16;
 
 /**
- * The level below which callers should not send, found from measured pressure. It rises at once to
- * where the arrivals seen fit, and falls in steps that double while there is room.
+ * The level below which callers should not send, found from measured pressure. It rises to where
+ * the arrivals that were seen fit what the target takes, and falls in steps that double while
+ * there is room.
  */
 export class ShedLevel {
   private level = 0;
 
-  private fall = 1;
+  private fall = FIRST_FALL;
 
-  private arrivals = 0;
+  /** Arrivals since the last step that the level was for. */
+  private arriving = 0;
 
-  private readonly recent = new Float64Array(PLACE_COUNT);
+  private readonly remembered = new Float64Array(PLACE_COUNT);
 
   constructor(private pace: ShedLevelPace) {}
 
@@ -69,49 +83,66 @@
     return this.level;
   }
 
-  /** Changes how fast the level follows. */
+  /** Changes how the level follows. */
   setPace(pace: ShedLevelPace): void {
     this.pace = pace;
   }
 
+  /** Arrivals since the last step, but for those that were sent before the level was known. */
+  arrivals(): number {
+    return this.arriving;
+  }
+
   /** Counts a call that asked to be let in. */
   countArrival(place: number): void {
-    this.arrivals += 1;
-    this.recent[place] = (this.recent[place] ?? 0) + 1;
+    this.remembered[place] = (this.remembered[place] ?? 0) + 1;
+    if (place >= this.level) this.arriving += 1;
   }
 
   /** Adjusts the level to what was measured since the last step. */
   step(pressure: Pressure): void {
-    if (pressure.refusals > 0 || pressure.waitingShare > this.pace.highShare) this.rise(pressure);
-    else if (pressure.waitingShare < this.pace.lowShare) this.sink();
-    else this.fall = 1;
-    this.arrivals = 0;
-    this.recent.forEach((count, place) => {
-      this.recent[place] = count * MEMORY;
+    const share = pressure.waiting / pressure.room;
+    if (pressure.refused > 0 || share > this.pace.highShare) this.rise(pressure);
+    else if (share < this.pace.lowShare && pressure.used < 1) this.sink(pressure);
+    else this.fall = FIRST_FALL;
+    this.arriving = 0;
+    this.remembered.forEach((count, place) => {
+      this.remembered[place] = count * MEMORY;
     });
   }
 
+  /** Share of the arrivals that would bring the queue to the middle of its band. */
+  private wantedShare(pressure: Pressure): number {
+    if (this.arriving === 0) return Infinity;
+    const middle = ((this.pace.highShare + this.pace.lowShare) / 2) * pressure.room;
+    const correction = (middle - pressure.waiting) / CORRECTION_STEPS;
+    return (pressure.admitted + correction) / this.arriving;
+  }
+
   private rise(pressure: Pressure): void {
-    this.fall = 1;
-    const fitting = this.arrivals > 0 ? 1 - pressure.refusals / this.arrivals : 1;
-    const room = this.arrivalsFrom(this.level) * Math.min(RISE_KEEPS, Math.max(0, fitting));
-    let level = this.level + 1;
-    let above = this.arrivalsFrom(level);
-    while (above > room && level < PLACE_COUNT - 1) {
-      above -= this.recent[level] ?? 0;
-      level += 1;
+    this.fall = FIRST_FALL;
+    let above = this.rememberedFrom(this.level);
+    const wanted = above * Math.max(MIN_KEPT, this.wantedShare(pressure));
+    while (above > wanted && this.level < PLACE_COUNT - 1) {
+      above -= this.remembered[this.level] ?? 0;
+      this.level += 1;
     }
-    this.level = Math.min(level, PLACE_COUNT - 1);
   }
 
-  private sink(): void {
-    this.level = Math.max(0, this.level - this.fall);
+  private sink(pressure: Pressure): void {
+    const room = Math.max(this.wantedShare(pressure), 1 / pressure.used) - 1;
+    if (room <= 0) {
+      this.fall = FIRST_FALL;
+      return;
+    }
+    const places = Math.min(this.fall, Math.max(1, Math.floor(room * FALL_PER_ROOM)));
+    this.level = Math.max(0, this.level - places);
     this.fall = Math.min(this.fall * 2, this.pace.maxFall);
   }
 
-  private arrivalsFrom(level: number): number {
+  private rememberedFrom(level: number): number {
     let sum = 0;
-    for (let place = level; place < PLACE_COUNT; place++) sum += this.recent[place] ?? 0;
+    for (let place = level; place < PLACE_COUNT; place++) sum += this.remembered[place] ?? 0;
     return sum;
   }
 }
--- a/packages/core/src/targetAdmission.ts
+++ b/packages/core/src/targetAdmission.ts
@@ -43,13 +43,23 @@
 /** Most that an adaptive limit may be, in multiples of the slots. */
 const MAX_SLOTS_MULTIPLE = 10;
 const MIN_ROOM = 2;
-/** Time between adjustments of the level, in milliseconds. */
-const LEVEL_STEP_MS = 100;
+/** A call is begun only while its remaining time is this multiple of the expected service time. */
+const HEADROOM = 1.1;
+/** Least share of the limit that the waiting room holds. */
+const MIN_ROOM_SHARE = 0.5;
+/** Least and most time between adjustments of the level, in milliseconds. */
+const MIN_LEVEL_STEP_MS = 100;
+const MAX_LEVEL_STEP_MS = 500;
+/** Service times that a step covers at least, as slots come free in bunches. */
+const LEVEL_STEP_SERVICES = 1.5;
+/** Arrivals from which on a busy target's level is adjusted. */
+const LEVEL_STEP_ARRIVALS = 10;
 /** Steps that are caught up with at most after a quiet time. */
 const MAX_STEPS_BEHIND = 50;
 
 interface WaitingCall extends Waiter {
   enteredAt: number;
+  levelBelow: () => number;
   settle(result: Result<Permit, Failure>): void;
 }
 
@@ -82,9 +92,9 @@
 
   private closed = false;
 
-  private refusals = 0;
+  private refusedCalls = 0;
 
-  private peakWaiting = 0;
+  private admittedCalls = 0;
 
   private steppedAt: number;
 
@@ -99,7 +109,7 @@
   enter(request: AdmissionRequest): Promise<Result<Permit, Failure>> {
     const place = placeOf(request.importance, request.caller);
     this.stepLevel();
-    const refused = this.refuseAtOnce(request);
+    const refused = this.refuseAtOnce(request, place);
     if (refused) return Promise.resolve(refused);
     this.level.countArrival(place);
     if (this.room.size === 0 && this.inFlight < this.limit.current()) {
@@ -139,16 +149,18 @@
     const hints = this.parts.hints ?? new TargetHints();
     const bounds = {
       initial: hints.startLimit(usual, MIN_LIMIT),
+      rampTo: slots,
       minimum: MIN_LIMIT,
       maximum: Math.max(MIN_LIMIT, slots * MAX_SLOTS_MULTIPLE),
     };
     return this.parts.adaptiveLimit?.(bounds) ?? new VegasLimit(bounds);
   }
 
-  private refuseAtOnce(request: AdmissionRequest): Err<Failure> | undefined {
+  private refuseAtOnce(request: AdmissionRequest, place: number): Err<Failure> | undefined {
     if (this.closed) return refusal(ResultCode.notRunDraining);
     if (request.signal.aborted) return refusal(ResultCode.notRunCancelled);
     if (this.isTooLate(request.deadlineAt)) return refusal(ResultCode.notRunDeadline);
+    if (place < (request.levelBelow?.() ?? 0)) return refusal(ResultCode.notRunShed);
     return undefined;
   }
 
@@ -159,8 +171,7 @@
   /** Past this time the answer could not reach the caller before its deadline. */
   private latestStart(deadlineAt: number): number {
     if (this.settings.limit === 'none') return deadlineAt;
-    const { headroom } = profileOf(this.settings.objective);
-    return deadlineAt - headroom * this.expected.at(this.clock.now());
+    return deadlineAt - HEADROOM * this.expected.at(this.clock.now());
   }
 
   private wait(request: AdmissionRequest, place: number): Promise<Result<Permit, Failure>> {
@@ -170,7 +181,6 @@
       this.room.takeOver(this.roomCapacity()).forEach((lowest) => {
         this.refuseForPressure(lowest, ResultCode.notRunShed);
       });
-      this.peakWaiting = Math.max(this.peakWaiting, this.room.size);
     });
   }
 
@@ -186,6 +196,7 @@
       place,
       deadlineAt,
       enteredAt,
+      levelBelow: request.levelBelow ?? (() => 0),
       settle: (result) => {
         watch.abort();
         resolve(result);
@@ -202,9 +213,12 @@
     return Math.min(maxWaitMs, this.latestStart(deadlineAt) - this.clock.now());
   }
 
+  /** As many calls as the wait allows, but never so few that a slot stays empty. */
   private roomCapacity(): number {
-    const { roomPerLimit } = profileOf(this.settings.objective);
-    return Math.max(MIN_ROOM, Math.ceil(roomPerLimit * this.limit.current()));
+    const { roomPerLimit, fullRoomMs } = profileOf(this.settings.objective);
+    const limit = this.limit.settled();
+    const perLimit = Math.max(MIN_ROOM_SHARE, fullRoomMs / this.expected.at(this.clock.now()));
+    return Math.max(MIN_ROOM, Math.ceil(limit * Math.min(roomPerLimit, perLimit)));
   }
 
   /** The caller has gone. */
@@ -226,7 +240,7 @@
   }
 
   private refuseForPressure(call: WaitingCall, code: ResultNumber): void {
-    this.refusals += 1;
+    this.refusedCalls += 1;
     this.refuse(call, code);
   }
 
@@ -238,6 +252,7 @@
   private grant(enteredAt: number): Permit {
     const startedAt = this.clock.now();
     this.inFlight += 1;
+    this.admittedCalls += 1;
     let held = true;
     return {
       waitedMs: startedAt - enteredAt,
@@ -261,6 +276,7 @@
   }
 
   private admitWaiting(): void {
+    this.refuseBelowLevels();
     while (this.inFlight < this.limit.current()) {
       const call = this.room.takeNext();
       if (!call) return;
@@ -269,18 +285,38 @@
     }
   }
 
+  /** What would be refused further down is not begun here. */
+  private refuseBelowLevels(): void {
+    this.room
+      .takeWhere((call) => call.place < call.levelBelow())
+      .forEach((call) => this.refuse(call, ResultCode.notRunShed));
+  }
+
+  /** Under pressure a step waits for enough arrivals to judge by. */
+  private levelStepMs(): number {
+    const pressed = this.refusedCalls > 0 || this.room.size > 0;
+    const tooFew = this.level.arrivals() < LEVEL_STEP_ARRIVALS;
+    if (pressed && tooFew) return MAX_LEVEL_STEP_MS;
+    const servicesMs = LEVEL_STEP_SERVICES * this.expected.at(this.clock.now());
+    return Math.min(MAX_LEVEL_STEP_MS, Math.max(MIN_LEVEL_STEP_MS, servicesMs));
+  }
+
   /** Catches up with the steps of the level that have come due. */
   private stepLevel(): void {
-    const due = Math.floor((this.clock.now() - this.steppedAt) / LEVEL_STEP_MS);
+    const stepMs = this.levelStepMs();
+    const due = Math.floor((this.clock.now() - this.steppedAt) / stepMs);
     if (due <= 0) return;
-    this.steppedAt += due * LEVEL_STEP_MS;
+    this.steppedAt = this.clock.now();
     for (let step = 0; step < Math.min(due, MAX_STEPS_BEHIND); step++) {
       this.level.step({
-        waitingShare: this.peakWaiting / this.roomCapacity(),
-        refusals: this.refusals,
+        waiting: this.room.size,
+        room: this.roomCapacity(),
+        admitted: this.admittedCalls,
+        refused: this.refusedCalls,
+        used: this.inFlight / this.limit.settled(),
       });
-      this.refusals = 0;
-      this.peakWaiting = this.room.size;
+      this.refusedCalls = 0;
+      this.admittedCalls = 0;
     }
   }
 }
--- /dev/null
+++ b/scripts/src/measureOverload.ts
@@ -0,0 +1,126 @@
+import { AimdLimit, GradientLimit, VegasLimit, createSeededRandom } from '@shallotcroft/core';
+import { cac } from 'cac';
+import { ControlledChain } from './controlledChain.js';
+import { deepSlots, chainShape } from './overloadChain.js';
+import type { Chain } from './overloadChain.js';
+import { Load } from './overloadLoad.js';
+import type { Phase } from './overloadLoad.js';
+import { outcomeOf } from './overloadOutcome.js';
+import type { OverloadOutcome } from './overloadOutcome.js';
+import { printBars, printTable } from './overloadReport.js';
+import { UncontrolledChain } from './uncontrolledChain.js';
+
+/** Measures a chain of three services under overload, with and without control. */
+
+const SEED = 20261204;
+const NORMAL_SECONDS = 4;
+const AFTER_SECONDS = 8;
+const CALIBRATION_SECONDS = 3;
+const SURGE = 3;
+const SLOWNESS = 10;
+const NORMAL_SHARE = 0.5;
+const triggers = ['surge', 'slow'] as const;
+type Trigger = (typeof triggers)[number];
+
+const ways: Record<string, () => Chain> = {
+  none: () => new UncontrolledChain('none'),
+  fixed: () => new UncontrolledChain('fixed'),
+  goodput: () => new ControlledChain('goodput'),
+  recovery: () => new ControlledChain('recovery'),
+  vegas: () => new ControlledChain('goodput', (bounds) => new VegasLimit(bounds)),
+  gradient: () => new ControlledChain('goodput', (bounds) => new GradientLimit(bounds)),
+  aimd: () => new ControlledChain('goodput', (bounds) => new AimdLimit(bounds)),
+};
+
+/** Whole answers a second of the chain alone, with just as many callers as keep it busy. */
+async function measureCapacity(): Promise<number> {
+  const chain = new UncontrolledChain('none');
+  const callers = deepSlots * (chainShape.slots.length + 1);
+  const endAt = performance.now() + CALIBRATION_SECONDS * 1000;
+  let answers = 0;
+  const loops = Array.from({ length: callers }, async (_, caller) => {
+    while (performance.now() < endAt) {
+      const id = `${caller}-${answers}`;
+      const attempt = { id, importance: 'high', caller: 'capacity', patienceMs: 5000 } as const;
+      if (await chain.call(attempt)) answers += 1;
+    }
+  });
+  await Promise.all(loops);
+  await chain.close();
+  return answers / CALIBRATION_SECONDS;
+}
+
+function slowCapacity(capacity: number): number {
+  const secondsPerCall = deepSlots / capacity;
+  return deepSlots / (secondsPerCall + ((SLOWNESS - 1) * chainShape.workMs) / 1000);
+}
+
+function phasesOf(chain: Chain, trigger: Trigger, seconds: number, capacity: number): Phase[] {
+  const normal = NORMAL_SHARE * capacity;
+  const surge = trigger === 'surge';
+  return [
+    { seconds: NORMAL_SECONDS, perSecond: normal },
+    {
+      seconds,
+      perSecond: surge ? SURGE * capacity : normal,
+      begin: () => chain.slowDown(surge ? 1 : SLOWNESS),
+    },
+    { seconds: AFTER_SECONDS, perSecond: normal, begin: () => chain.slowDown(1) },
+  ];
+}
+
+async function measure(
+  way: string,
+  trigger: Trigger,
+  seconds: number,
+  capacity: number,
+): Promise<OverloadOutcome> {
+  const create = ways[way];
+  if (!create) throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
+  const chain = create();
+  const load = new Load(chain, createSeededRandom(SEED));
+  await load.run(phasesOf(chain, trigger, seconds, capacity));
+  const executions = await chain.executions();
+  await chain.close();
+  const span = {
+    startMs: NORMAL_SECONDS * 1000,
+    endMs: (NORMAL_SECONDS + seconds) * 1000,
+    capacity: trigger === 'surge' ? capacity : slowCapacity(capacity),
+  };
+  return outcomeOf(load.records, executions, span, span.endMs + AFTER_SECONDS * 1000);
+}
+
+interface Options {
+  help?: boolean;
+  seconds: number;
+  ways: string;
+  triggers: string;
+}
+
+async function main(): Promise<void> {
+  const cli = cac('measure:overload');
+  cli.option('--seconds <seconds>', 'length of the trigger', { default: 30 });
+  cli.option('--ways <names>', 'ways to compare', { default: 'none,fixed,goodput,recovery' });
+  cli.option('--triggers <names>', 'triggers', { default: triggers.join(',') });
+  cli.help();
+  const options = cli.parse().options as Options;
+  if (options.help) return;
+  const seconds = Number(options.seconds);
+  const wayNames = options.ways.split(',');
+  const capacity = await measureCapacity();
+  console.log(
+    `capacity ${capacity.toFixed(0)} whole requests/s, trigger ${seconds} s, seed ${SEED}`,
+  );
+  const results: Record<string, Record<string, OverloadOutcome>> = {};
+  for (const trigger of triggers.filter((name) => options.triggers.includes(name))) {
+    const outcomes: Record<string, OverloadOutcome> = {};
+    for (const way of wayNames) outcomes[way] = await measure(way, trigger, seconds, capacity);
+    printTable(trigger, outcomes);
+    printBars(outcomes);
+    results[trigger] = outcomes;
+  }
+  console.log(JSON.stringify(results));
+}
+
+await main();
+process.exit(0);
