feat(core): shedding levels of the services below ride back, and failures below do not cut a limit

A target that fails because a call below it failed is no longer taken for overloaded; a call whose services below would refuse it is not begun; a child of a running call goes to the least shedding target instead of being refused here.

--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -13,6 +13,7 @@
 import type { Failure } from './failure.js';
 import { deriveKey, readKey } from './idempotencyKey.js';
 import { ResultCode } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
 import type { RunningCall, RunningCalls } from './runningCalls.js';
 
 const ANONYMOUS_CALLER = 'anonymous';
@@ -24,10 +25,10 @@
   allowance: AttemptAllowance;
   /** True when no attempt outside this call can carry the same key. */
   keyIsSole: boolean;
-  /** Aborted when the parent call is no longer wanted; a root has none. */
+  /** Aborted when the parent call is no longer wanted; absent in a root. */
   signal: AbortSignal | undefined;
   /** Returns what was not spent to the parent; to be called once, at the end. */
-  settle(): void;
+  settle(code: ResultNumber): void;
 }
 
 /** What finding an origin needs. */
@@ -37,7 +38,7 @@
   runningCalls: RunningCalls;
 }
 
-function failed(code: (typeof ResultCode)[keyof typeof ResultCode], message: string) {
+function failed(code: ResultNumber, message: string) {
   return Err(createFailure(code, message));
 }
 
@@ -151,8 +152,8 @@
       // A parent that runs at most once makes each derived key once.
       keyIsSole: !own && firstOfItsName && parent.policy.execution === 'atMostOnce',
       signal: parent.signal,
-      settle: () => {
-        parent.below.end();
+      settle: (code) => {
+        parent.below.end(code === ResultCode.ok);
         grant.settle(allowance.close());
       },
     });
--- a/packages/core/src/callProgress.ts
+++ b/packages/core/src/callProgress.ts
@@ -13,6 +13,9 @@
 
   readonly allowance: AttemptAllowance;
 
+  /** True for the first call of a tree. */
+  readonly isRoot: boolean;
+
   /** True when no attempt outside this call can carry the same key. */
   readonly keyIsSole: boolean;
 
@@ -30,6 +33,7 @@
     this.policy = origin.policy;
     this.context = origin.context;
     this.allowance = origin.allowance;
+    this.isRoot = origin.signal === undefined;
     this.keyIsSole = origin.keyIsSole;
   }
 
--- a/packages/core/src/timeBelow.ts
+++ b/packages/core/src/callsBelow.ts
@@ -1,15 +1,22 @@
 import type { Clock } from './clock.js';
 
-/** Measures how long a running call waits for calls that it made itself. */
-export class TimeBelow {
+/** Follows the calls that a running call makes: how long it waits for them, and how they end. */
+export class CallsBelow {
   private waiting = 0;
 
   private startedAt = 0;
 
   private totalMs = 0;
 
+  private failure = false;
+
   constructor(private readonly clock: Clock) {}
 
+  /** True once a call below has failed: what the target then answers is no word about itself. */
+  get anyFailed(): boolean {
+    return this.failure;
+  }
+
   /** A call below begins. */
   begin(): void {
     if (this.waiting === 0) this.startedAt = this.clock.now();
@@ -17,8 +24,9 @@
   }
 
   /** A call below has ended. */
-  end(): void {
+  end(succeeded: boolean): void {
     this.waiting -= 1;
+    if (!succeeded) this.failure = true;
     if (this.waiting === 0) this.totalMs += this.clock.now() - this.startedAt;
   }
 
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -93,7 +93,7 @@
   }
 
   async function attempt(call: CallProgress): Promise<AttemptEnd> {
-    const chosen = router.choose(call.policy, call.context, call.tried);
+    const chosen = router.choose(call);
     if (chosen.isErr()) return endOfFailure(chosen.error);
     const member = chosen.value;
     call.recordAttempt(member);
@@ -154,7 +154,7 @@
     options.retryBudget.recordCall(policy.service);
     const call = new CallProgress(request, origin, signal);
     const end = await makeAttempts(call);
-    origin.settle();
+    origin.settle(end.code);
     options.histograms.record({
       importance: context.importance,
       caller: context.caller,
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -8,6 +8,7 @@
 import { decodeHop } from './callContext.js';
 import type { HopContext } from './callContext.js';
 import { CallHeader } from './callHeaders.js';
+import { CallsBelow } from './callsBelow.js';
 import type { Clock } from './clock.js';
 import type { CallPolicy, Configuration } from './configuration.js';
 import { remainingForHopMs } from './deadline.js';
@@ -20,7 +21,6 @@
 import type { ExecutionBounds } from './shardHome.js';
 import type { RunningCalls } from './runningCalls.js';
 import type { TargetRegistry } from './targetRegistry.js';
-import { TimeBelow } from './timeBelow.js';
 
 /** Statuses with which a target says that it has too much to do. */
 const overloadStatuses = new Set([429, 503]);
@@ -45,6 +45,8 @@
   logger: Logger;
   configuration: () => Configuration | undefined;
   oneShot: OneShotRunner;
+  /** Least shedding level that the calls below a call must pass. */
+  levelBelow: (policy: CallPolicy) => number;
 }
 
 interface GuardedCall {
@@ -59,9 +61,14 @@
   return Err(createFailure(code, message));
 }
 
-function outcomeOf(result: Result<CallAnswer, Failure>, signal: AbortSignal): Outcome {
+function outcomeOf(
+  result: Result<CallAnswer, Failure>,
+  signal: AbortSignal,
+  below: CallsBelow,
+): Outcome {
   if (result.isOk()) return 'completed';
   if (signal.aborted) return 'cancelled';
+  if (below.anyFailed) return 'failed';
   const { code } = result.error;
   const refused =
     code === ResultCode.notRunTargetRefused || code === ResultCode.unknownTargetOverloaded;
@@ -130,7 +137,7 @@
   async function runAtTarget(call: GuardedCall, permit: Permit, bounds?: ExecutionBounds) {
     const { policy, context, allowance, signal } = call;
     const id = uuidv7();
-    const below = new TimeBelow(clock);
+    const below = new CallsBelow(clock);
     runningCalls.begin({ id, policy, context, allowance, signal, below, children: new Map() });
     options.histograms.record({
       importance: context.importance,
@@ -140,7 +147,7 @@
     });
     const result = await sendToTarget(call, id, bounds);
     runningCalls.end(id);
-    permit.release(outcomeOf(result, signal), below.elapsedMs());
+    permit.release(outcomeOf(result, signal, below), below.elapsedMs());
     return result;
   }
 
@@ -164,7 +171,11 @@
   ): Promise<Result<CallAnswer, Failure>> {
     const refused = refusal(call.policy);
     if (refused) return Err(refused);
-    const permit = await admission.enter({ ...call.context, signal: call.signal });
+    const permit = await admission.enter({
+      ...call.context,
+      signal: call.signal,
+      levelBelow: () => options.levelBelow(call.policy),
+    });
     if (permit.isErr()) return permit;
     return runAtTarget(call, permit.value, bounds);
   }
@@ -179,6 +190,11 @@
   }
 
   /** Only this daemon says what the code is: a target may pass on headers of calls that it made. */
+  function shedLevelFor(request: CallRequest): number {
+    const policy = options.configuration()?.calls[request.call];
+    return Math.max(admission.shedLevel(), policy ? options.levelBelow(policy) : 0);
+  }
+
   function finish(
     result: Result<CallAnswer, Failure>,
     request: CallRequest,
@@ -188,7 +204,7 @@
     const headers = passedHeaders(answer.headers);
     headers[CallHeader.code] = String(result.isOk() ? ResultCode.ok : result.error.code);
     headers[CallHeader.tokensLeft] = String(tokensLeft);
-    headers[CallHeader.shedLevel] = String(admission.shedLevel());
+    headers[CallHeader.shedLevel] = String(shedLevelFor(request));
     headers[CallHeader.request] = request.headers[CallHeader.request] ?? '';
     return { ...answer, headers };
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -169,3 +169,5 @@
 export { applyConfigurationDelta, createConfigurationDelta } from './configurationDelta.js';
 export type { ConfigurationDelta } from './configurationDelta.js';
 export type { EtcdStoreOptions } from './etcdStore.js';
+export { createLevelBelow } from './levelBelow.js';
+export type { LevelBelowOptions } from './levelBelow.js';
--- a/packages/core/src/runningCalls.ts
+++ b/packages/core/src/runningCalls.ts
@@ -1,7 +1,7 @@
 import type { AttemptAllowance } from './attemptAllowance.js';
 import type { CallContext } from './callContext.js';
 import type { CallPolicy } from './configuration.js';
-import type { TimeBelow } from './timeBelow.js';
+import type { CallsBelow } from './callsBelow.js';
 
 /** A call that the target beside this daemon works on. */
 export interface RunningCall {
@@ -12,8 +12,8 @@
   allowance: AttemptAllowance;
   /** Aborted when the answer is no longer wanted; its children are aborted with it. */
   signal: AbortSignal;
-  /** Time that the target waits for calls which it made. */
-  below: TimeBelow;
+  /** The calls that the target makes for this one. */
+  below: CallsBelow;
   /** Children started so far, by name of the call. */
   children: Map<string, number>;
 }
--- a/packages/core/src/targetRouter.ts
+++ b/packages/core/src/targetRouter.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'ts-results-es';
 import type { CallAnswer } from './call.js';
 import { numberOfAnswer } from './callAnswer.js';
-import type { CallContext } from './callContext.js';
 import { CallHeader } from './callHeaders.js';
+import type { CallProgress } from './callProgress.js';
 import type { CallerShedding } from './callerShedding.js';
 import type { CallPolicy, Configuration } from './configuration.js';
 import { createFailure } from './failure.js';
@@ -19,11 +19,7 @@
 /** Finds the daemon that an attempt goes to. */
 export interface TargetRouter {
   /** A daemon, or why the attempt is not made; what is refused here was not run. */
-  choose(
-    policy: CallPolicy,
-    context: CallContext,
-    tried: ReadonlySet<string>,
-  ): Result<Member, Failure>;
+  choose(call: CallProgress): Result<Member, Failure>;
   begin(member: Member): void;
   end(member: Member): void;
   /** Learns from the headers of an answer. */
@@ -43,15 +39,20 @@
 export function createTargetRouter(options: TargetRouterOptions): TargetRouter {
   const { subsets, homes, chooser, shedding } = options;
 
-  function chooseRepeatable(
-    policy: CallPolicy,
-    context: CallContext,
-    tried: ReadonlySet<string>,
-  ): Result<Member, Failure> {
+  /** The targets that shed least: where a call goes whose tree has been begun already. */
+  function leastShedding(targets: Member[]): Member[] {
+    const levels = targets.map((member) => shedding.levelOf(member.incarnation));
+    const least = Math.min(...levels);
+    return targets.filter((_member, index) => levels[index] === least);
+  }
+
+  function chooseRepeatable(call: CallProgress): Result<Member, Failure> {
+    const { policy, context, tried, isRoot } = call;
     const targets = subsets.targetsOf(policy.service);
     const place = placeOf(context.importance, context.caller);
     const open = targets.filter((member) => !shedding.refuses(member.incarnation, place));
-    const member = chooser.choose(open, tried);
+    const candidates = open.length === 0 && !isRoot ? leastShedding(targets) : open;
+    const member = chooser.choose(candidates, tried);
     if (member) return Ok(member);
     if (targets.length > 0) {
       const message = `every target of ${policy.service} sheds ${context.importance} calls; try again later`;
@@ -72,10 +73,10 @@
   }
 
   return {
-    choose: (policy, context, tried) => {
-      const { key } = context;
-      const atHome = policy.execution === 'atMostOnce' && key !== undefined;
-      return atHome ? chooseHome(policy, key) : chooseRepeatable(policy, context, tried);
+    choose: (call) => {
+      const { key } = call.context;
+      const atHome = call.policy.execution === 'atMostOnce' && key !== undefined;
+      return atHome ? chooseHome(call.policy, key) : chooseRepeatable(call);
     },
     begin: (member) => chooser.begin(member),
     end: (member) => chooser.end(member),
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -10,6 +10,7 @@
   createGuard,
   createHistograms,
   createHomeLocator,
+  createLevelBelow,
   createMembership,
   createRunningCalls,
   createTargetChooser,
@@ -140,23 +141,26 @@
   const { settings, clock, random } = options;
   const { membership } = parts;
   const configuration = parts.configuration.current;
+  const subsets = createTargetSubsets(settings, membership);
+  const shedding = createCallerShedding(clock, random);
   const guard = createGuard({
     ...options,
     ...parts,
     transport: options.targetTransport,
     configuration,
     oneShot: parts.oneShot.run,
+    levelBelow: createLevelBelow({ subsets, shedding, configuration }),
   });
   const gateway = createGateway({
     ...options,
     ...parts,
     transport: options.daemonTransport,
     router: createTargetRouter({
-      subsets: createTargetSubsets(settings, membership),
+      subsets,
       homes: createHomeLocator(membership),
       configuration,
       chooser: createTargetChooser({ dataCentre: settings.dataCentre, random }),
-      shedding: createCallerShedding(clock, random),
+      shedding,
     }),
     retryBudget: new RetryBudget(clock),
     originOf: createCallOrigins({ clock, configuration, runningCalls: parts.runningCalls }),
--- a/playground/src/__tests__/leaving.spec.ts
+++ b/playground/src/__tests__/leaving.spec.ts
@@ -85,6 +85,7 @@
     histograms: createHistograms(),
     logger: silentLogger,
     configuration: () => configuration,
+    levelBelow: () => 0,
     oneShot: (_key, execute) => execute({ beginWithinMs: () => Infinity }),
   });
   registry.announce({ service: 'catalogue', address: '127.0.0.1', port: 9000 });
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -294,6 +294,7 @@
       logger: silentLogger,
       configuration,
       oneShot: this.oneShot,
+      levelBelow: () => 0,
     });
     const gateway = createGateway({
       clock,
