feat(core): answers, generated configuration, applying, settings

`CallPolicy.keyed` says so to daemons.

Applying compares and swaps one key. After a lost answer it sends the same swap again, expecting the same store revision: at most one of them takes effect and, once the revision has moved, none can any more. If the store shows another change it asks the history for our revision number; whoever replaces a revision keeps it first, so that answer is sure.

Ruled out: reading after a loss (a late write lands after the read); writing history after accepting only (a crash leaves the gap that the settling needs); shards that follow the upstreams (a changed number of shards moves keys that are in use: refused).

--- /dev/null
+++ b/packages/core/src/__tests__/applyChange.spec.ts
@@ -0,0 +1,228 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { applyConfiguration } from '../applyChange.js';
+import type { ApplyOptions, ApplyOutcome } from '../applyChange.js';
+import type { Configuration } from '../configuration.js';
+import type { Failure } from '../failure.js';
+import { ManualClock } from '../manualClock.js';
+import { MemoryStore } from '../memoryStore.js';
+import type { LostWriteEffect } from '../memoryStore.js';
+import { createSeededRandom } from '../random.js';
+import { ResultCode } from '../resultCode.js';
+import { HISTORY_KEPT, readAccepted, readHistory } from '../revisions.js';
+import { CONFIGURATION_KEY } from '../storeKeys.js';
+
+function configurationOf(deadlineMs: number, shards = 4): Configuration {
+  return {
+    revision: 0,
+    changeId: '',
+    objective: 'goodput',
+    services: { a: { name: 'a', slots: 1, connections: 1, limit: 'adaptive', shards } },
+    calls: {
+      'a.one': {
+        name: 'a.one',
+        service: 'a',
+        importance: 'low',
+        execution: 'atMostOnce',
+        deadlineMs,
+        attemptTokens: 1,
+        maxAnswerBytes: 1,
+        maxBodyBytes: 1,
+        children: [],
+      },
+    },
+  };
+}
+
+/** Loses answers of swaps of the configuration only. */
+class LossyStore extends MemoryStore {
+  readonly effects: LostWriteEffect[] = [];
+
+  override swap(key: string, expected: number, value: string) {
+    const effect = key === CONFIGURATION_KEY ? this.effects.shift() : undefined;
+    if (effect) this.loseNextAnswer(effect);
+    return super.swap(key, expected, value);
+  }
+}
+
+function start(seed = 1) {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const options: ApplyOptions = { store, clock, random: createSeededRandom(seed) };
+  return { clock, store, options };
+}
+
+/** Runs until `work` settles, moving the clock past its pauses. */
+async function settle<T>(clock: ManualClock, work: Promise<T>): Promise<T> {
+  let isDone = false;
+  const finish = () => {
+    isDone = true;
+  };
+  work.then(finish, finish);
+  while (!isDone) await clock.advance(2000);
+  return work;
+}
+
+async function acceptedOf(store: MemoryStore) {
+  return (await readAccepted(store.session())).unwrap();
+}
+
+test('revisions count up, unchanged answers write nothing, replaced revisions are kept', async () => {
+  const { store, options } = start();
+  for (let deadlineMs = 1; deadlineMs <= HISTORY_KEPT + 3; deadlineMs++) {
+    const outcome = (await applyConfiguration(configurationOf(deadlineMs), options)).unwrap();
+    assert.equal(outcome.kind, 'accepted');
+  }
+  const { writes } = store.counts;
+  const again = await applyConfiguration(configurationOf(HISTORY_KEPT + 3), options);
+  assert.equal(again.unwrap().kind, 'unchanged');
+  assert.equal(store.counts.writes, writes);
+  const kept = (await readHistory(store)).unwrap().map((one) => one.revision);
+  assert.deepEqual(
+    kept,
+    Array.from({ length: HISTORY_KEPT }, (_, index) => index + 4),
+  );
+});
+
+test('of two racing operators one gets the conflict, the winner and the difference', async () => {
+  const { store, options } = start();
+  await applyConfiguration(configurationOf(1), options);
+  const other = { ...options, store: store.session() };
+  const outcomes = await Promise.all([
+    applyConfiguration(configurationOf(2), options),
+    applyConfiguration(configurationOf(3), other),
+  ]);
+  const kinds = outcomes.map((outcome) => outcome.unwrap().kind);
+  assert.deepEqual([...kinds].sort(), ['accepted', 'conflict']);
+  const accepted = (await acceptedOf(store)).configuration;
+  assert.equal(accepted?.revision, 2);
+  const lost = outcomes[kinds.indexOf('conflict')]?.unwrap() as ApplyOutcome & { kind: 'conflict' };
+  assert.equal(lost.winner.changeId, accepted?.changeId);
+  assert.deepEqual(
+    lost.theirs.map((change) => `${change.path} ${change.before} ${change.after}`),
+    ['calls.a.one.deadlineMs 1 2'],
+  );
+  assert.deepEqual(
+    lost.wanted.map((change) => `${change.path} ${change.before} ${change.after}`),
+    ['calls.a.one.deadlineMs 2 3'],
+  );
+});
+
+test('answers that started from an older revision are a conflict', async () => {
+  const { options } = start();
+  await applyConfiguration(configurationOf(1), options);
+  await applyConfiguration(configurationOf(2), options);
+  const outcome = await applyConfiguration(configurationOf(3), { ...options, base: 1 });
+  assert.equal(outcome.unwrap().kind, 'conflict');
+});
+
+test('a change whose answer is lost is accepted once, and its late write changes nothing', async () => {
+  for (const effect of ['early', 'late', 'never'] as const) {
+    const { clock, store, options } = start();
+    store.loseNextAnswer(effect);
+    const outcome = await settle(clock, applyConfiguration(configurationOf(1), options));
+    assert.equal(outcome.unwrap().kind, 'accepted', effect);
+    const settled = await acceptedOf(store);
+    assert.equal((await applyConfiguration(configurationOf(2), options)).unwrap().kind, 'accepted');
+    const later = await acceptedOf(store);
+    store.landLateWrites();
+    assert.deepEqual(await acceptedOf(store), later);
+    assert.equal(settled.configuration?.revision, 1);
+    assert.equal(later.configuration?.revision, 2);
+  }
+});
+
+test('a lost change that was accepted and then replaced is told as accepted', async () => {
+  const { clock, store, options } = start();
+  store.loseNextAnswer('early');
+  const work = applyConfiguration(configurationOf(1), options);
+  await ManualClock.settle();
+  const other = { ...options, store: store.session() };
+  assert.equal((await applyConfiguration(configurationOf(2), other)).unwrap().kind, 'accepted');
+  const outcome = (await settle(clock, work)).unwrap();
+  assert.ok(outcome.kind === 'accepted' && outcome.replacedBy === 2);
+});
+
+test('a store that is down has written nothing; one that never answers leaves it unknown', async () => {
+  const { clock, store, options } = start();
+  store.setDown(true);
+  const down = await applyConfiguration(configurationOf(1), options);
+  assert.equal(down.unwrapErr().code, ResultCode.storeUnavailable);
+  store.setDown(false);
+  store.loseNextAnswer('late');
+  const work = applyConfiguration(configurationOf(1), options);
+  await ManualClock.settle();
+  store.setDown(true);
+  const unknown = (await settle(clock, work)).unwrapErr();
+  assert.equal(unknown.code, ResultCode.storeOutcomeUnknown);
+  store.setDown(false);
+  store.landLateWrites();
+  const { configuration } = await acceptedOf(store);
+  assert.ok(unknown.message.includes(configuration?.changeId ?? 'none'));
+});
+
+test('revisions go on when the store has lost the accepted one', async () => {
+  const { store, options } = start();
+  await applyConfiguration(configurationOf(1), options);
+  await applyConfiguration(configurationOf(2), options);
+  await store.remove(CONFIGURATION_KEY, (await acceptedOf(store)).modRevision);
+  await applyConfiguration(configurationOf(3), options);
+  assert.equal((await acceptedOf(store)).configuration?.revision, 3);
+});
+
+test('a value that is too large and a changed number of shards are refused before writing', async () => {
+  const { store, options } = start();
+  const large = configurationOf(1);
+  large.calls['a.one'] = { ...large.calls['a.one']!, name: 'x'.repeat(1_000_000) };
+  const refused = await applyConfiguration(large, options);
+  assert.equal(refused.unwrapErr().code, ResultCode.answersInvalid);
+  assert.equal(store.counts.writes, 0);
+  await applyConfiguration(configurationOf(1), options);
+  const resharded = await applyConfiguration(configurationOf(1, 8), options);
+  assert.equal(resharded.unwrapErr().code, ResultCode.answersInvalid);
+});
+
+const faults = fc.array(fc.constantFrom<LostWriteEffect>('early', 'late', 'never'), {
+  maxLength: 4,
+});
+
+test('whatever is lost, a change is told as accepted exactly when the store accepted it', async () => {
+  await fc.assert(
+    fc.asyncProperty(faults, faults, fc.integer(), async (mine, theirs, seed) => {
+      const { clock, store: first, options } = start(seed);
+      await applyConfiguration(configurationOf(1), options);
+      const store = new LossyStore(clock, first.database);
+      const other = new LossyStore(clock, first.database);
+      store.effects.push(...mine);
+      other.effects.push(...theirs);
+      const accepted = new Map<number, string>();
+      const watch = store.session().watch(CONFIGURATION_KEY, ({ value }) => {
+        const { revision, changeId } = JSON.parse(value) as Configuration;
+        assert.equal(accepted.get(revision) ?? changeId, changeId, 'a revision was changed');
+        accepted.set(revision, changeId);
+      });
+      const work = Promise.all([
+        applyConfiguration(configurationOf(2), { ...options, store }),
+        applyConfiguration(configurationOf(3), { ...options, store: other }),
+      ]);
+      const outcomes = await settle(clock, work);
+      const told = outcomes.flatMap((outcome) =>
+        outcome.isOk() && outcome.value.kind === 'accepted'
+          ? [outcome.value.configuration.changeId]
+          : [],
+      );
+      const failures = outcomes.flatMap((outcome): Failure[] =>
+        outcome.isErr() ? [outcome.error] : [],
+      );
+      store.landLateWrites();
+      other.landLateWrites();
+      await ManualClock.settle();
+      watch.close();
+      const kept = [...accepted.values()];
+      told.forEach((changeId) => assert.ok(kept.includes(changeId), 'told but not accepted'));
+      if (failures.length === 0) assert.equal(told.length, kept.length - 1);
+    }),
+    { seed: 7, numRuns: 150 },
+  );
+});
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -20,6 +20,8 @@
   service: string;
   importance: Importance;
   execution: Execution;
+  /** Whether all attempts of a call share a key; always so when it may run at most once. */
+  keyed?: boolean;
   /** How long the root caller waits, in milliseconds. */
   deadlineMs: number;
   /** Further attempts allowed end to end when this call is the root. */
--- a/packages/core/src/storeKeys.ts
+++ b/packages/core/src/storeKeys.ts
@@ -8,3 +8,13 @@
 export function bootstrapKey(dataCentre: string, slot: number): string {
   return `${BOOTSTRAP_PREFIX}${dataCentre}/${slot}`;
 }
+
+/** Prefix of the revisions that were replaced. */
+export const HISTORY_PREFIX = 'shallotcroft/history/';
+
+const REVISION_DIGITS = 10;
+
+/** Key of one replaced revision; keys sort as their revisions do. */
+export function historyKey(revision: number): string {
+  return `${HISTORY_PREFIX}${String(revision).padStart(REVISION_DIGITS, '0')}`;
+}
