--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/callOrigin.ts
@@ -162,6 +162,11 @@
   return (request: CallRequest): Result<CallOrigin, Failure> => {
     const policy = policyOf(request.call);
     if (policy.isErr()) return policy;
+    const { maxBodyBytes } = policy.value;
+    if (request.body.length > maxBodyBytes) {
+      const message = `the body has ${request.body.length} bytes; ${request.call} takes up to ${maxBodyBytes}`;
+      return failed(ResultCode.badBodyTooLarge, message);
+    }
     const parentId = request.headers[CallHeader.parent];
     if (parentId === undefined) return rootOrigin(request, policy.value);
     const parent = options.runningCalls.find(parentId);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,13 +15,13 @@
   ListeningServer,
   Logger,
   RandomSource,
+  Settings,
   Store,
   Supervisor,
 } from '@shallotcroft/core';
 import { createCallRoutes } from './callRoutes.js';
 import { createDaemonParts } from './daemonParts.js';
 import type { DaemonParts } from './daemonParts.js';
-import type { Settings } from './settings.js';
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const IN_FLIGHT_POLL_MS = 20;
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -38,12 +38,12 @@
   PeerMethods,
   RandomSource,
   RunningCalls,
+  Settings,
   Store,
   TargetRegistry,
 } from '@shallotcroft/core';
 import { createOneShotSlot } from './oneShotSlot.js';
 import type { OneShotSlot } from './oneShotSlot.js';
-import type { Settings } from './settings.js';
 
 /** What the parts of a daemon are made from. */
 export interface DaemonPartsOptions {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,5 +2,3 @@
 export type { Daemon, DaemonOptions } from './daemon.js';
 export { createDaemonParts } from './daemonParts.js';
 export type { DaemonParts, DaemonPartsOptions } from './daemonParts.js';
-export { readSettings } from './settings.js';
-export type { Settings } from './settings.js';
--- a/playground/src/deployment.ts
+++ b/playground/src/deployment.ts
@@ -118,6 +118,8 @@
         host,
         dataCentre,
         address: LOOPBACK,
+        callPort: 0,
+        peerPort: 0,
         bootstrap: hosts.slice(0, 1).map((known) => known.peer),
         logLevel: plan.logLevel,
         store: { endpoints: [store.endpoint] },
