--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -89,7 +89,7 @@
 
 /** Daemons, targets and callers on one clock, with a transcript of what is seen. */
 export class SessionWorld {
-  readonly clock = new ManualClock();
+  readonly clock = new ManualClock(new Date('2026-12-04T00:00:00Z'));
 
   readonly network = new CallNetwork(this.clock, LATENCY_MS);
 
@@ -97,7 +97,7 @@
 
   readonly transcript: string[] = [];
 
-  private readonly random = createSeededRandom(SEED);
+  protected readonly random = createSeededRandom(SEED);
 
   private readonly record: SessionRecord;
 
@@ -107,7 +107,7 @@
 
   private readonly keys = new Map<string, string>();
 
-  constructor(private readonly configuration: Configuration) {
+  constructor(protected readonly configuration: Configuration) {
     const policies = Object.values(configuration.calls);
     const once = policies.filter(({ execution }) => execution === 'atMostOnce');
     this.record = {
@@ -272,7 +272,8 @@
     return outcome;
   };
 
-  private listen(host: SessionHost): void {
+  /** Starts what answers calls to the daemon and the target of a host. */
+  protected listen(host: SessionHost): void {
     const { clock } = this;
     // A source of its own, so that a change at one host leaves the others' choices alone.
     const random = createSeededRandom(SEED + this.hosts.size);
@@ -319,7 +320,7 @@
     this.network.listen(host.target, this.createTarget(host));
   }
 
-  private createTarget(host: SessionHost): (arrival: Arrival) => Promise<CallAnswer> {
+  protected createTarget(host: SessionHost): (arrival: Arrival) => Promise<CallAnswer> {
     return createSessionTarget({
       host: host.name,
       clock: this.clock,
