feat(core): a silent connection takes all connections idle with it along

Cause: a middlebox that loses track forgets all connections at once; the other endpoints' idle ones each cost another call a second of silence.

When silence is noticed, the connections that were idle since before the silent request was sent are ended, to all endpoints; at a mere deadline only those to the same endpoint, so that overload does not reconnect everything. With the step switched off the new spec stalls.

Golden sessions forget the connections of callers, daemons and targets in turn. What they show: towards daemons the second call is whole again after one second of silence; from a daemon to its target the bound is the deadline of the call, as targets send no interim answers.

--- a/packages/core/src/__tests__/httpCallTransport.spec.ts
+++ b/packages/core/src/__tests__/httpCallTransport.spec.ts
@@ -303,6 +303,24 @@
   await bench.close();
 });
 
+test('when one connection is silent, those that were idle to other endpoints are not used again', async () => {
+  const bench = await Bench.open((request, index) => index === 2 || answer(request), {
+    silenceMs: SILENCE_MS,
+  });
+  const other = await RawServer.listen(answer);
+  await textOf(bench.send('a'));
+  await textOf(bench.send('b', {}, other.port));
+  await bench.clock.advance(10);
+  const stalled = bench.send('c');
+  await bench.server.seen(2);
+  await bench.clock.advance(SILENCE_MS + 100);
+  assert.equal(await codeOf(stalled), ResultCode.unknownConnectionLost);
+  assert.equal(await textOf(bench.send('d', {}, other.port)), 'answer to d');
+  assert.equal(other.connections, 2);
+  await bench.close();
+  await other.close();
+});
+
 test('a connection that was idle for long is not used again', async () => {
   const bench = await Bench.open(answer, { connections: { idleMs: 300 } });
   assert.equal(await textOf(bench.send('one')), 'answer to one');
--- a/packages/core/src/endpointConnections.ts
+++ b/packages/core/src/endpointConnections.ts
@@ -20,8 +20,10 @@
 export interface ConnectionCounts {
   /** An answer to another request came; it was dropped. */
   foreignAnswers: number;
-  /** Nothing came for too long. */
+  /** Nothing came for longer than a daemon at work is silent. */
   silent: number;
+  /** No whole answer came before the deadline. */
+  timedOut: number;
   /** Lost, cancelled or at fault. */
   broken: number;
 }
@@ -52,6 +54,8 @@
     private readonly bounds: ConnectionBounds,
     private readonly clock: Clock,
     private readonly counts: ConnectionCounts,
+    /** Called with the time since when a connection has been silent. */
+    private readonly onSilence: (since: number) => void,
   ) {
     this.lastUsedAt = clock.now();
   }
@@ -84,6 +88,15 @@
     this.idle.length = 0;
   }
 
+  /** Ends the connections that were last used before `time`, which may be silent too. */
+  dropIdleSince(time: number): void {
+    const old = this.idle.filter(({ since }) => since <= time);
+    old.forEach((entry) => {
+      this.idle.splice(this.idle.indexOf(entry), 1);
+      this.drop(entry.connection);
+    });
+  }
+
   private run(connection: Client, path: string, exchange: HttpExchange): void {
     exchange.start(connection, path, (fate) => this.release(connection, exchange, fate));
   }
@@ -95,25 +108,19 @@
       this.count(fate);
       this.drop(connection);
     }
-    if (fate === 'silent') this.dropIdleSince(exchange.sentAt ?? 0);
+    const sentAt = exchange.sentAt ?? 0;
+    if (fate === 'silent') this.onSilence(sentAt);
+    else if (fate === 'timedOut') this.dropIdleSince(sentAt);
     this.startNext();
   }
 
   private count(fate: ConnectionFate): void {
     if (fate === 'foreignAnswer') this.counts.foreignAnswers += 1;
     else if (fate === 'silent') this.counts.silent += 1;
+    else if (fate === 'timedOut') this.counts.timedOut += 1;
     else this.counts.broken += 1;
   }
 
-  /** What made one connection silent has often met the others that were idle at that time. */
-  private dropIdleSince(time: number): void {
-    const old = this.idle.filter(({ since }) => since <= time);
-    old.forEach((entry) => {
-      this.idle.splice(this.idle.indexOf(entry), 1);
-      this.drop(entry.connection);
-    });
-  }
-
   private startNext(): void {
     for (;;) {
       const next = this.waiting[0];
--- a/packages/core/src/httpCallTransport.ts
+++ b/packages/core/src/httpCallTransport.ts
@@ -38,7 +38,12 @@
 /** Carries calls over HTTP/1.1, one call at a time on each connection. */
 export class HttpCallTransport extends CallTransport {
   /** What was seen on connections since the start. */
-  readonly counts: ConnectionCounts = { foreignAnswers: 0, silent: 0, broken: 0 };
+  readonly counts: ConnectionCounts = {
+    foreignAnswers: 0,
+    silent: 0,
+    timedOut: 0,
+    broken: 0,
+  };
 
   private readonly endpoints = new Map<string, EndpointConnections>();
 
@@ -91,12 +96,23 @@
     this.endpoints.clear();
   }
 
+  /** What made one connection silent, such as a restarted middlebox, has often met all others. */
+  private readonly dropIdleSince = (time: number): void => {
+    this.endpoints.forEach((connections) => connections.dropIdleSince(time));
+  };
+
   private connectionsTo(to: Endpoint): EndpointConnections {
     this.sweep();
     const name = `${to.address}:${to.port}`;
     let connections = this.endpoints.get(name);
     if (!connections) {
-      connections = new EndpointConnections(to, this.bounds, this.clock, this.counts);
+      connections = new EndpointConnections(
+        to,
+        this.bounds,
+        this.clock,
+        this.counts,
+        this.dropIdleSince,
+      );
       this.endpoints.set(name, connections);
     }
     return connections;
--- a/packages/core/src/httpExchange.ts
+++ b/packages/core/src/httpExchange.ts
@@ -26,7 +26,7 @@
 }
 
 /** How an exchange left its connection. */
-export type ConnectionFate = 'reusable' | 'broken' | 'silent' | 'foreignAnswer';
+export type ConnectionFate = 'reusable' | 'broken' | 'timedOut' | 'silent' | 'foreignAnswer';
 
 /** One request and its answer on one connection. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -217,7 +217,7 @@
     if (this.sentAt === undefined) {
       this.fail(ResultCode.notRunConnect, `no connection within ${timeoutMs} ms`, 'broken');
     } else {
-      this.fail(ResultCode.unknownTimeout, `no whole answer within ${timeoutMs} ms`, 'silent');
+      this.fail(ResultCode.unknownTimeout, `no whole answer within ${timeoutMs} ms`, 'timedOut');
     }
   }
 
--- a/playground/src/__tests__/sessions.spec.ts
+++ b/playground/src/__tests__/sessions.spec.ts
@@ -127,6 +127,34 @@
     await slow;
   },
 
+  'connections that are silent for good are replaced': async (world, deployment) => {
+    const daemons = deployment.chain.flatMap(daemonsOf);
+    const targets = deployment.chain.flatMap(targetsOf);
+    addHosts(world, deployment, { ownRetries: 1 });
+    const via = `${deployment.chain[0]}-0`;
+    const callBoth = async (root: string) => {
+      const low = world.call({ root: `${root}-low`, call: deployment.low, via });
+      await callCritical(world, deployment, root);
+      await low;
+    };
+    const forget = async (place: string, from: string[], ends: string[]) => {
+      for (let warm = 0; warm < 3; warm++) await callBoth(`before-${place}-${warm}`);
+      from.forEach((end) => world.network.forgetConnections(end, ends));
+      world.log(`connections of ${place} are forgotten`);
+      await callBoth(place);
+      await callBoth(`after-${place}`);
+    };
+    const hosts = [...world.hosts.keys()];
+    await forget('callers-to-daemons', ['caller'], daemons);
+    await forget('daemons-to-daemons', hosts, daemons);
+    await forget(
+      'targets-to-daemons',
+      hosts.map((host) => `${host}-target`),
+      daemons,
+    );
+    await forget('daemons-to-targets', hosts, targets);
+  },
+
   'a silent connection is noticed and is not a dead peer': async (world, deployment) => {
     addHosts(world, deployment);
     const via = `${deployment.chain[0]}-0`;
--- a/playground/src/callNetwork.ts
+++ b/playground/src/callNetwork.ts
@@ -44,6 +44,12 @@
 
   private readonly faults = new Map<string, SetFault>();
 
+  private readonly interimSenders = new Set<string>();
+
+  private readonly used = new Map<string, Set<string>>();
+
+  private readonly forgotten = new Map<string, Set<string>>();
+
   /** Told of each request that reaches the other end. */
   onArrival: ((sent: SentRequest) => void) | undefined;
 
@@ -52,9 +58,15 @@
     readonly latencyMs: number,
   ) {}
 
-  /** Answers requests to `at` from now on. */
-  listen(at: Endpoint, handler: ArrivalHandler): void {
+  /** Answers requests to `at` from now on; daemons send interim answers meanwhile, targets don't. */
+  listen(at: Endpoint, handler: ArrivalHandler, sendsInterim: boolean): void {
     this.handlers.set(nameOf(at), handler);
+    if (sendsInterim) this.interimSenders.add(nameOf(at));
+  }
+
+  /** True when silence of `to` is noticed before the deadline. */
+  sendsInterim(to: string): boolean {
+    return this.interimSenders.has(to);
   }
 
   /** Refuses connections to `at` from now on. */
@@ -72,6 +84,26 @@
     this.faults.clear();
   }
 
+  /**
+   * Makes the connections that are open from `from` to `ends` silent for good; new ones work.
+   * The end that notices one gives up the others that it holds, as `HttpCallTransport` does.
+   */
+  forgetConnections(from: string, ends: string[]): void {
+    const open = this.used.get(from);
+    this.forgotten.set(from, new Set(ends.filter((end) => open?.has(end))));
+  }
+
+  /** True when the connection from `from` to `to` is one that is silent for good. */
+  isForgotten(from: string, to: string): boolean {
+    this.used.set(from, (this.used.get(from) ?? new Set()).add(to));
+    return this.forgotten.get(from)?.has(to) ?? false;
+  }
+
+  /** The end `from` has noticed that a connection is silent. */
+  noticeSilence(from: string): void {
+    this.forgotten.delete(from);
+  }
+
   /** The fault that the next request on a link meets. */
   takeFault(from: string, to: string): LinkFault | undefined {
     const set = this.faults.get(`${from}>${to}`) ?? this.faults.get(`*>${to}`);
--- a/playground/src/networkSend.ts
+++ b/playground/src/networkSend.ts
@@ -64,7 +64,7 @@
       this.end(failed(ResultCode.notRunConnect, `${to} can not be reached`));
       return;
     }
-    if (fault === 'silent') {
+    if (fault === 'silent' || network.isForgotten(from, to)) {
       await this.staySilent();
       return;
     }
@@ -87,7 +87,10 @@
   }
 
   private async staySilent(): Promise<void> {
-    await this.network.clock.sleep(MAX_SILENCE_MS);
+    const { network, bounds } = this;
+    const boundMs = network.sendsInterim(this.to) ? MAX_SILENCE_MS : bounds.timeoutMs;
+    await network.clock.sleep(boundMs);
+    network.noticeSilence(this.from);
     this.end(failed(ResultCode.unknownConnectionLost, 'the connection was silent'));
   }
 
--- a/playground/src/sessionTarget.ts
+++ b/playground/src/sessionTarget.ts
@@ -57,7 +57,11 @@
   const { clock, behaviour, log, host } = options;
 
   async function callOnce(name: string, arrival: Arrival): Promise<CallAnswer> {
-    const headers = { [CallHeader.parent]: arrival.request.headers[CallHeader.parent] ?? '' };
+    const headers = {
+      [CallHeader.parent]: arrival.request.headers[CallHeader.parent] ?? '',
+      // Its own retry of a call is the same call, and is to be recognised as such.
+      [CallHeader.label]: 'only',
+    };
     const sent = await options.transport.send(
       options.daemon,
       `/call/${name.replace('.', '/')}`,
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -312,11 +312,12 @@
       logger: silentLogger,
       originOf: createCallOrigins({ clock, configuration, runningCalls }),
     });
-    this.network.listen(host.daemon, async ({ path, request, signal }) => {
+    const answerCall = async ({ path, request, signal }: Arrival) => {
       if (path.startsWith('/hop/')) return guard.handle(request, signal);
       return gateway.call(request, signal);
-    });
-    this.network.listen(host.target, this.createTarget(host));
+    };
+    this.network.listen(host.daemon, answerCall, true);
+    this.network.listen(host.target, this.createTarget(host), false);
   }
 
   private createTarget(host: SessionHost): (arrival: Arrival) => Promise<CallAnswer> {
