--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -169,3 +169,7 @@
 export { applyConfigurationDelta, createConfigurationDelta } from './configurationDelta.js';
 export type { ConfigurationDelta } from './configurationDelta.js';
 export type { EtcdStoreOptions } from './etcdStore.js';
+export { ShardKeeper } from './shardKeeper.js';
+export type { ShardKeeperOptions } from './shardContext.js';
+export { readInstant } from './oneShotTiming.js';
+export type { Instant } from './oneShotTiming.js';
--- /dev/null
+++ b/playground/src/__tests__/brokenParts.ts
@@ -0,0 +1,37 @@
+/* eslint-disable max-classes-per-file -- each is one rule left out */
+import { ShardDeputy, ShardHome, readInstant } from '@shallotcroft/core';
+import type { ExecutionBounds, Instant } from '@shallotcroft/core';
+
+export class CountsPledgeFromAnswer extends ShardHome {
+  protected override pledgeStart(): Instant {
+    return readInstant(this.clock);
+  }
+}
+
+export class DoesNotCheckBeforeSending extends ShardHome {
+  protected override boundsOfExecution(): ExecutionBounds {
+    const withinMs = this.beginWithinMs();
+    return { beginWithinMs: () => withinMs };
+  }
+}
+
+export class DoesNotWaitOutPledges extends ShardDeputy {
+  // eslint-disable-next-line class-methods-use-this
+  override mayTakeOver(): boolean {
+    return true;
+  }
+}
+
+export class GrantsAfterLostTakeover extends ShardDeputy {
+  // eslint-disable-next-line class-methods-use-this
+  protected override mayGrant(): boolean {
+    return true;
+  }
+}
+
+export class GoesOnDuringOwnSwap extends ShardHome {
+  // eslint-disable-next-line class-methods-use-this
+  override suspend(): void {
+    // Left out on purpose.
+  }
+}
--- /dev/null
+++ b/playground/src/oneShotSystem.ts
@@ -0,0 +1,377 @@
+import {
+  ResultCode,
+  ShardKeeper,
+  createFailure,
+  createSeededRandom,
+  createShardDeputy,
+  createShardHome,
+  defaultAnswerTableLimits,
+  defaultOneShotTiming,
+  isNotRun,
+  mintKey,
+  silentLogger,
+} from '@shallotcroft/core';
+import type {
+  CallOutcome,
+  Directory,
+  Execute,
+  Failure,
+  Member,
+  PeerMethod,
+  ShardDeputyFactory,
+  ShardHomeFactory,
+  ShardRecord,
+} from '@shallotcroft/core';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { ExplorableSystem, Step } from './explorer.js';
+import { ExplorerClock } from './explorerClock.js';
+import { ExplorerDatabase } from './explorerDatabase.js';
+import { ExplorerStore } from './explorerStore.js';
+import type { StoreRequest } from './explorerStore.js';
+import { fingerprintOf } from './fingerprint.js';
+
+const SERVICE = 's';
+const RECORD_KEY = `shallotcroft/shards/${SERVICE}/0`;
+const EPOCH_MS = Date.UTC(2026, 11, 4);
+const TICK_MS = 1000;
+const PLEDGE_TICKS = 2;
+const NEVER_MS = 1e9;
+const MAX_REQUESTS_IN_FLIGHT = 1;
+const MAX_ANSWERS_IN_FLIGHT = 2;
+
+/** What the target checks when a call reaches it some time after it was sent. */
+export type TargetStart = 'atOnce' | 'delayed' | 'delayedWithLatestStart';
+
+/** A small case of the at-most-once protocol. */
+export interface OneShotCase {
+  /** The first is home, the second deputy; the others are there to be chosen. */
+  daemons: string[];
+  ticks: number;
+  attempts: number;
+  targetStart: TargetStart;
+  /** Ticks after which the home replaces a silent deputy; undefined: never. */
+  patienceTicks?: number;
+  /** True when the home may be told to hand over to the deputy. */
+  handover?: boolean;
+  storeCompares: boolean;
+  createHome?: ShardHomeFactory;
+  createDeputy?: ShardDeputyFactory;
+}
+
+interface Message {
+  from: string;
+  to: string;
+  text: string;
+  phase: 'asked' | 'answered' | 'done';
+  handle(): void;
+  answer(): void;
+}
+
+interface Daemon {
+  member: Member;
+  keeper: ShardKeeper;
+  methods: Map<string, PeerMethod>;
+}
+
+interface Waiting {
+  name: string;
+  go(): void;
+}
+
+function memberOf(name: string, index: number): Member {
+  return {
+    incarnation: name,
+    version: 1,
+    host: name,
+    dataCentre: `dc${index}`,
+    service: SERVICE,
+    state: 'serving',
+    address: '127.0.0.1',
+    callPort: index,
+    peerPort: index,
+    homes: [],
+  };
+}
+
+/** Homes, deputies and the store, over the real code, with every order of events open. */
+export class OneShotSystem implements ExplorableSystem {
+  private readonly clock = new ExplorerClock(EPOCH_MS);
+
+  private readonly database: ExplorerDatabase;
+
+  private readonly requests: StoreRequest[] = [];
+
+  private readonly messages: Message[] = [];
+
+  private readonly daemons: Daemon[];
+
+  private waiting: Waiting[] = [];
+
+  private readonly executions: string[] = [];
+
+  private ticksLeft: number;
+
+  private attemptsLeft: number;
+
+  private handoverLeft: boolean;
+
+  private key: string | undefined;
+
+  private broken: string | undefined;
+
+  constructor(private readonly model: OneShotCase) {
+    this.ticksLeft = model.ticks;
+    this.attemptsLeft = model.attempts;
+    this.handoverLeft = model.handover ?? false;
+    this.database = new ExplorerDatabase(model.storeCompares);
+    const members = model.daemons.map(memberOf);
+    this.database.swap(RECORD_KEY, 0, JSON.stringify(OneShotSystem.firstRecord(members)));
+    this.daemons = members.map((member) => this.createDaemon(member, members));
+    this.daemons.forEach(({ keeper }) => keeper.start());
+  }
+
+  settle(): Promise<void> {
+    return this.clock.settle();
+  }
+
+  violation(): string | undefined {
+    return this.broken;
+  }
+
+  steps(): Step[] {
+    return [
+      ...this.messages.flatMap((message, index) => OneShotSystem.messageSteps(message, index)),
+      ...this.requests.flatMap((request, index) => OneShotSystem.storeSteps(request, index)),
+      ...this.waiting.map(({ name, go }) => ({ name, take: go })),
+      ...this.attemptSteps(),
+      ...this.handoverSteps(),
+      ...this.tickSteps(),
+    ];
+  }
+
+  fingerprint(): string {
+    const messages = this.messages.filter(({ phase }) => phase !== 'done');
+    const requests = this.requests.filter(({ happened, answered, isWrite }) =>
+      isWrite ? !happened || !answered : !answered,
+    );
+    return JSON.stringify([
+      this.clock.now(),
+      this.attemptsLeft,
+      this.handoverLeft,
+      this.database.rows.get(RECORD_KEY),
+      messages.map(({ from, to, text, phase }) => `${from}${to}${text}${phase}`).sort(),
+      requests.map((request) => JSON.stringify(request)).sort(),
+      this.waiting.map(({ name }) => name),
+      this.executions,
+      this.daemons.map(({ keeper }) => fingerprintOf(keeper)),
+    ]);
+  }
+
+  private static firstRecord([home, deputy]: Member[]): ShardRecord {
+    const holder = (member: Member | undefined): ShardRecord['home'] => {
+      const { incarnation, address, peerPort } = member as Member;
+      return { incarnation, address, peerPort };
+    };
+    return { shards: 1, home: holder(home), deputy: holder(deputy), since: 0, handover: null };
+  }
+
+  private createDaemon(member: Member, members: Member[]): Daemon {
+    const methods = new Map<string, PeerMethod>();
+    const { model, clock } = this;
+    const directory: Directory = {
+      targetsOf: () => members,
+      members: () => members,
+      memberOf: (incarnation) => members.find((other) => other.incarnation === incarnation),
+      onChange: () => () => undefined,
+    };
+    const keeper = new ShardKeeper({
+      self: member,
+      service: SERVICE,
+      shards: 1,
+      store: new ExplorerStore(member.incarnation, this.database, this.requests),
+      peers: {
+        call: (to, method, params) => this.send(member.incarnation, to.port, method, params),
+        close: () => Promise.resolve(),
+      },
+      methods: { register: (method, handler) => methods.set(method, handler) },
+      directory,
+      clock,
+      random: createSeededRandom(1),
+      logger: silentLogger,
+      onClaims: () => undefined,
+      timing: {
+        ...defaultOneShotTiming,
+        pledgeMs: PLEDGE_TICKS * TICK_MS,
+        pledgeIntervalMs: TICK_MS,
+        pledgeMarginMs: 0,
+        deputyPatienceMs: model.patienceTicks ? model.patienceTicks * TICK_MS : NEVER_MS,
+        clockBoundMs: 0,
+        refreshMs: NEVER_MS,
+        holdMs: 0,
+        drainMs: 0,
+      },
+      limits: defaultAnswerTableLimits,
+      createHome: model.createHome ?? createShardHome,
+      createDeputy: model.createDeputy ?? createShardDeputy,
+    });
+    return { member, keeper, methods };
+  }
+
+  private send<T>(
+    from: string,
+    toPort: number,
+    method: string,
+    params: unknown,
+  ): Promise<Result<T, Failure>> {
+    const receiver = this.daemons[toPort];
+    return new Promise((resolve) => {
+      let result: T;
+      const message: Message = {
+        from,
+        to: receiver?.member.incarnation ?? '',
+        text: `${method} ${JSON.stringify(params)} ${this.clock.now()}`,
+        phase: 'asked',
+        handle: () => {
+          message.phase = 'answered';
+          receiver?.methods
+            .get(method)?.(params)
+            .then((answer) => {
+              result = answer as T;
+            })
+            .catch(() => undefined);
+          this.dropOldest('answered', MAX_ANSWERS_IN_FLIGHT, message);
+        },
+        answer: () => {
+          message.phase = 'done';
+          resolve(Ok(result));
+        },
+      };
+      this.messages.push(message);
+      this.dropOldest('asked', MAX_REQUESTS_IN_FLIGHT, message);
+    });
+  }
+
+  /** Loses the oldest of too many messages on the same way. */
+  private dropOldest(phase: Message['phase'], most: number, { from, to }: Message): void {
+    const onTheWay = this.messages.filter(
+      (message) => message.phase === phase && message.from === from && message.to === to,
+    );
+    onTheWay.slice(0, Math.max(0, onTheWay.length - most)).forEach((message) => {
+      Object.assign(message, { phase: 'done' });
+    });
+  }
+
+  private static messageSteps(message: Message, index: number): Step[] {
+    if (message.phase === 'asked') {
+      return [{ name: `m${index} from ${message.from} arrives`, take: message.handle }];
+    }
+    if (message.phase === 'answered') {
+      return [{ name: `m${index} is answered to ${message.from}`, take: message.answer }];
+    }
+    return [];
+  }
+
+  private static storeSteps(request: StoreRequest, index: number): Step[] {
+    const name = `store request ${index} of ${request.from}`;
+    const steps: Step[] = [];
+    if (!request.happened && (request.isWrite || !request.answered)) {
+      steps.push({ name: `${name} takes effect`, take: request.happen });
+    }
+    if (request.happened && !request.answered) {
+      steps.push({ name: `${name} is answered`, take: request.answer });
+    }
+    if (request.isWrite && !request.answered) {
+      steps.push({ name: `${name} gets no answer`, take: request.loseAnswer });
+    }
+    return steps;
+  }
+
+  private tickSteps(): Step[] {
+    if (this.ticksLeft === 0) return [];
+    const take = (): void => {
+      this.ticksLeft -= 1;
+      this.clock.advance(TICK_MS);
+    };
+    return [{ name: 'a tick passes', take }];
+  }
+
+  private handoverSteps(): Step[] {
+    const [first] = this.daemons;
+    if (!this.handoverLeft || !first) return [];
+    const take = (): void => {
+      this.handoverLeft = false;
+      first.keeper.leave().catch(() => undefined);
+    };
+    return [{ name: `${first.member.incarnation} leaves`, take }];
+  }
+
+  private attemptSteps(): Step[] {
+    if (this.attemptsLeft === 0) return [];
+    const homes = this.daemons.filter(({ keeper }) => keeper.book.homes.has(0));
+    return homes.map((daemon) => ({
+      name: `attempt at ${daemon.member.incarnation}`,
+      take: () => this.attempt(daemon),
+    }));
+  }
+
+  private attempt({ member, keeper }: Daemon): void {
+    this.attemptsLeft -= 1;
+    this.key ??= mintKey(this.clock, createSeededRandom(2));
+    const name = member.incarnation;
+    keeper.book.homes
+      .get(0)
+      ?.execute(this.key, this.executeAt(name))
+      .then((outcome) => this.checkAnswer(name, outcome))
+      .catch((error: Error) => {
+        this.broken = error.message;
+      });
+  }
+
+  private executeAt(name: string): Execute {
+    return async (bounds) => {
+      await this.wait(`the call at ${name} is sent`);
+      const withinMs = bounds.beginWithinMs();
+      if (withinMs <= 0) {
+        return Err(createFailure(ResultCode.notRunHomeUnavailable, 'the pledge has lapsed'));
+      }
+      const latestStart = this.clock.now() + withinMs;
+      if (this.model.targetStart !== 'atOnce') await this.wait(`the target of ${name} starts`);
+      const late = this.clock.now() >= latestStart;
+      if (late && this.model.targetStart === 'delayedWithLatestStart') {
+        return Err(createFailure(ResultCode.notRunTargetRefused, 'too late to start'));
+      }
+      this.noteExecution(name);
+      return Ok({ status: 200, headers: {}, body: Buffer.alloc(0) });
+    };
+  }
+
+  private wait(name: string): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting: Waiting = {
+        name,
+        go: () => {
+          this.waiting = this.waiting.filter((other) => other !== waiting);
+          resolve();
+        },
+      };
+      this.waiting.push(waiting);
+    });
+  }
+
+  private noteExecution(name: string): void {
+    this.executions.push(name);
+    const entry = this.database.rows.get(RECORD_KEY);
+    const record = JSON.parse(entry?.value ?? '{}') as ShardRecord;
+    if (this.executions.length > 1) this.broken = `the key ran at ${this.executions.join(', ')}`;
+    else if (record.home.incarnation !== name) {
+      this.broken = `${name} ran the key, but the record names ${record.home.incarnation}`;
+    }
+  }
+
+  private checkAnswer(name: string, outcome: CallOutcome): void {
+    if (outcome.isErr() && isNotRun(outcome.error.code) && this.executions.length > 0) {
+      this.broken = `${name} said ${outcome.error.name}, but the key ran`;
+    }
+  }
+}
