--- a/packages/core/src/deputyChoice.ts
+++ b/packages/core/src/deputyChoice.ts
@@ -28,11 +28,11 @@
 
   /** The deputy for a home: in another data centre where there is one, the same for all its shards. */
   deputyFor(home: Holder, excluded: string[]): Holder | null {
-    const candidates = this.others().filter(({ incarnation }) => {
+    const now = this.clock.now();
+    const candidates = [...this.others(), this.self].filter(({ incarnation }) => {
       if (incarnation === home.incarnation || excluded.includes(incarnation)) return false;
-      return (this.avoidedUntil.get(incarnation) ?? -Infinity) <= this.clock.now();
+      return (this.avoidedUntil.get(incarnation) ?? -Infinity) <= now;
     });
-    if (home.incarnation !== this.self.incarnation) candidates.push(this.self);
     const ranked = rank(home.incarnation, candidates);
     const dataCentre = this.dataCentreOf(home);
     const remote = ranked.find((member) => member.dataCentre !== dataCentre);
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -106,13 +106,15 @@
     const name = policy.name.slice(policy.service.length + 1);
     const headers = headersForTarget(call, id, remainingMs);
     if (bounds) {
+      // Read first: a pause between the two readings then shortens the time left, never adds to it.
+      const now = clock.date().getTime();
       const beginWithinMs = bounds.beginWithinMs();
       if (beginWithinMs <= 0) {
         const message = 'the home of the key was not sure to be the only one; try the key again';
         return failed(ResultCode.notRunHomeUnavailable, message);
       }
       // The target shares this host's calendar clock, and refuses what comes later.
-      headers[CallHeader.latestStart] = String(clock.date().getTime() + beginWithinMs);
+      headers[CallHeader.latestStart] = String(now + beginWithinMs);
     }
     const sent = await options.transport.send(
       target,
--- a/packages/core/src/retryDecision.ts
+++ b/packages/core/src/retryDecision.ts
@@ -18,6 +18,7 @@
   ResultCode.unknownCancelled,
   ResultCode.unknownAnswerTooLarge,
   ResultCode.unknownKeyMayHaveRun,
+  ResultCode.badKeyExpired,
 ]);
 
 /**
