feat(core): reassignShard, for a shard whose home and deputy are both gone

Cause: nobody else may take such a shard over, or the old home could still run calls, cut off. The operator names the incarnations that have ended; one that still answers is not believed ended. Ruled out: a rule by time alone, since a home and its deputy that are cut off together go on pledging to one another. A daemon that listens where the ended home did succeeds it by itself.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -173,3 +173,5 @@
 export type { ShardKeeperOptions } from './shardContext.js';
 export { readInstant } from './oneShotTiming.js';
 export type { Instant } from './oneShotTiming.js';
+export { reassignShard } from './reassignShard.js';
+export type { Reassignment } from './reassignShard.js';
--- a/playground/src/__tests__/oneShotFleet.spec.ts
+++ b/playground/src/__tests__/oneShotFleet.spec.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ResultCode } from '@shallotcroft/core';
+import { ResultCode, reassignShard } from '@shallotcroft/core';
 import type { CallOutcome } from '@shallotcroft/core';
 import { OneShotFleet } from '../oneShotFleet.js';
 import type { FleetOptions } from '../oneShotFleet.js';
+import { PausableClock } from '../pausableClock.js';
 
 const SETTLE_MS = 60_000;
 
@@ -182,7 +183,8 @@
   assert.deepEqual(fleet.violations(), []);
 });
 
-test('home and deputy both gone: the shard refuses until the home comes back at its place', async () => {
+/** Two daemons of one shard; both are killed, a third starts. */
+async function loseBoth(): Promise<{ fleet: OneShotFleet; key: string; home: string }> {
   const fleet = new OneShotFleet({ shards: 1 });
   fleet.add('hobart1', 'hobart');
   fleet.add('burnie1', 'burnie');
@@ -195,9 +197,38 @@
   fleet.add('launceston1', 'launceston');
   await fleet.advance(SETTLE_MS);
   assert.deepEqual(await callAll(fleet, [fleet.mint()]), [ResultCode.unknownKeyMayHaveRun]);
+  return { fleet, key, home };
+}
+
+test('home and deputy both gone: the shard refuses until the home comes back at its place', async () => {
+  const { fleet, key, home } = await loseBoth();
   fleet.add(home, home.slice(0, 6));
   await fleet.advance(SETTLE_MS);
   assert.deepEqual(await callAll(fleet, [key]), [ResultCode.unknownKeyMayHaveRun]);
   assert.deepEqual(await callAll(fleet, [fleet.mint()]), [ResultCode.ok]);
   assert.deepEqual(fleet.violations(), []);
 });
+
+async function reassign(fleet: OneShotFleet, ended: string[]): Promise<number> {
+  const { store, member } = fleet.daemon('launceston1');
+  const operatorClock = new PausableClock(fleet.clock);
+  const { peers } = fleet.network.connect(9000, operatorClock);
+  const { incarnation, address, peerPort } = member;
+  const to = { incarnation, address, peerPort };
+  const reassignment = { store, peers, clock: operatorClock, service: 'payments', shard: 0 };
+  const done = reassignShard({ ...reassignment, to, ended });
+  await fleet.advance(10_000);
+  const result = await done;
+  return result.isOk() ? ResultCode.ok : result.error.code;
+}
+
+test('an operator gives a shard away only when home and deputy are said to have ended, and have', async () => {
+  const { fleet, key } = await loseBoth();
+  assert.equal(await reassign(fleet, ['hobart1#1']), ResultCode.badRequest);
+  assert.equal(await reassign(fleet, ['hobart1#1', 'burnie1#1']), ResultCode.ok);
+  await fleet.advance(SETTLE_MS);
+  assert.deepEqual(await callAll(fleet, [key]), [ResultCode.unknownKeyMayHaveRun]);
+  assert.deepEqual(await callAll(fleet, [fleet.mint()]), [ResultCode.ok]);
+  assert.equal(await reassign(fleet, ['launceston1#1']), ResultCode.badRequest);
+  assert.deepEqual(fleet.violations(), []);
+});
