--- a/playground/src/systemWorld.ts
+++ b/playground/src/systemWorld.ts
@@ -2,6 +2,7 @@
 import type { Configuration, Logger } from '@shallotcroft/core';
 import { createDaemonParts } from '@shallotcroft/daemon';
 import type { DaemonParts } from '@shallotcroft/daemon';
+import type { ArrivalHandler } from './callNetwork.js';
 import { PausableClock } from './pausableClock.js';
 import { PeerNetwork } from './peerNetwork.js';
 import { SessionWorld } from './sessionWorld.js';
@@ -87,11 +88,12 @@
     const daemon = this.startDaemon(host);
     const { guard, gateway, registry } = daemon.parts;
     Object.assign(host, { registry });
-    this.network.listen(host.daemon, async ({ path, request, signal }) => {
+    const answerCall: ArrivalHandler = async ({ path, request, signal }) => {
       if (path.startsWith('/hop/')) return guard.handle(request, signal);
       return gateway.call(request, signal);
-    });
-    this.network.listen(host.target, this.createTarget(host));
+    };
+    this.network.listen(host.daemon, answerCall, true);
+    this.network.listen(host.target, this.createTarget(host), false);
   }
 
   private startDaemon(host: SessionHost): SystemDaemon {
