feat(core): targets that can't be reached are passed over, closing servers wait for answers

Cause: with one of two targets gone, half of the first attempts failed and the retry ratio of a tenth refused most of their retries. A target that could not be reached is passed over for a second, and retries of ends that cost the service nothing (no connection, draining, no target, not home) are outside the ratio; tokens still bound them. Closing servers wait for the requests in flight, and a caller that went silent no longer holds them open. A drain hands keys over.

--- a/packages/core/src/embeddedCaller.ts
+++ b/packages/core/src/embeddedCaller.ts
@@ -91,7 +91,7 @@
       ),
       homes: createHomeLocator(directory),
       configuration: directory.configuration,
-      chooser: createTargetChooser({ dataCentre: options.dataCentre, random }),
+      chooser: createTargetChooser({ clock, dataCentre: options.dataCentre, random }),
       shedding: createCallerShedding(clock, random),
     }),
     retryBudget: new RetryBudget(clock),
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -50,6 +50,14 @@
   answered: boolean;
 }
 
+/** Ends of an attempt that cost the service nothing, so that the retry ratio does not count them. */
+const loadlessCodes = new Set<ResultNumber>([
+  ResultCode.notRunConnect,
+  ResultCode.notRunDraining,
+  ResultCode.notRunNoTarget,
+  ResultCode.notHome,
+]);
+
 /** Makes a gateway. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { clock, router, transport } = options;
@@ -85,6 +93,7 @@
       // Where no byte was sent nothing was spent below; else what was spent is not known.
       if (isNotRun(sent.error.code)) grant.settle(grant.tokens);
       else grant.forfeit();
+      router.noteFailure(member, sent.error);
       return endOfFailure(sent.error);
     }
     grant.settle(numberOfAnswer(sent.value, CallHeader.tokensLeft, 0));
@@ -113,7 +122,8 @@
     const remainingMs = context.deadlineAt - clock.now();
     const waitMs = backoffMs(call.attempts, remainingMs, options.random);
     if (waitMs === undefined || signal.aborted) return false;
-    if (call.allowance.left === 0 || !options.retryBudget.tryRetry(policy.service)) return false;
+    const allowed = loadlessCodes.has(end.code) || options.retryBudget.tryRetry(policy.service);
+    if (!allowed || call.allowance.left === 0) return false;
     call.allowance.spend();
     await clock.sleep(waitMs, signal).catch(() => undefined);
     return !signal.aborted;
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -3,6 +3,16 @@
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
 import { CallHeader } from './callHeaders.js';
+import { systemClock } from './clock.js';
+import type { Clock } from './clock.js';
+
+/** A request that has not arrived whole by then is cut off, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 15_000;
+
+/** Time that a closing server gives answers to leave, in milliseconds. */
+const FLUSH_MS = 2000;
+
+const activeRequests = new WeakMap<Server, Set<Promise<void>>>();
 
 /** A whole HTTP request. */
 export interface HttpMessage {
@@ -104,12 +114,16 @@
   handler: HttpHandler,
 ): Promise<ListeningServer> {
   const server = createServer();
-  server.requestTimeout = 0;
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  const active = new Set<Promise<void>>();
+  activeRequests.set(server, active);
   const application = polka({ server });
   application.use((incoming, response) => {
-    serve(incoming, response, limitBytes, handler).catch((error: unknown) => {
+    const served = serve(incoming, response, limitBytes, handler).catch((error: unknown) => {
       writeAnswer(response, answerOfError(error as Error));
     });
+    active.add(served);
+    served.finally(() => active.delete(served)).catch(() => undefined);
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -119,10 +133,19 @@
   });
 }
 
+async function finishRequests(active: Set<Promise<void>>): Promise<void> {
+  while (active.size > 0) await Promise.allSettled(active);
+}
+
 /** Stops listening; requests under way are answered first. */
-export function closeHttp(server: Server): Promise<void> {
-  return new Promise((resolve) => {
+export async function closeHttp(server: Server, clock: Clock = systemClock): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
     server.close(() => resolve());
     server.closeIdleConnections();
   });
+  await finishRequests(activeRequests.get(server) ?? new Set());
+  // All is answered; a caller that went silent must not hold the server open for good.
+  const flush = clock.startTimer(FLUSH_MS, () => server.closeAllConnections());
+  await closed;
+  flush.cancel();
 }
--- a/packages/core/src/targetRouter.ts
+++ b/packages/core/src/targetRouter.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { CallAnswer } from './call.js';
-import { numberOfAnswer } from './callAnswer.js';
+import { codeOfAnswer, numberOfAnswer } from './callAnswer.js';
 import { CallHeader } from './callHeaders.js';
 import type { CallProgress } from './callProgress.js';
 import type { CallerShedding } from './callerShedding.js';
@@ -12,6 +12,7 @@
 import { shardOf } from './idempotencyKey.js';
 import type { Member } from './member.js';
 import { ResultCode } from './resultCode.js';
+import type { ResultNumber } from './resultCode.js';
 import { placeOf } from './shedLevel.js';
 import type { TargetChooser } from './targetChooser.js';
 import type { TargetSubsets } from './targetSubset.js';
@@ -24,6 +25,8 @@
   end(member: Member): void;
   /** Learns from the headers of an answer. */
   noteAnswer(member: Member, answer: CallAnswer): void;
+  /** Learns from an attempt that got no answer. */
+  noteFailure(member: Member, failure: Failure): void;
 }
 
 /** What a router needs. */
@@ -35,6 +38,15 @@
   shedding: CallerShedding;
 }
 
+/** Ends of an attempt after which another target is the better choice for a while. */
+const unreachableCodes = new Set<ResultNumber>([
+  ResultCode.notRunConnect,
+  ResultCode.notRunDraining,
+  ResultCode.notRunNoTarget,
+  ResultCode.unknownTimeout,
+  ResultCode.unknownConnectionLost,
+]);
+
 /** Makes a router that sends nothing to a target which would shed it. */
 export function createTargetRouter(options: TargetRouterOptions): TargetRouter {
   const { subsets, homes, chooser, shedding } = options;
@@ -80,7 +92,11 @@
     },
     begin: (member) => chooser.begin(member),
     end: (member) => chooser.end(member),
+    noteFailure: (member, { code }) => {
+      if (unreachableCodes.has(code)) chooser.avoid(member);
+    },
     noteAnswer: (member, answer) => {
+      if (unreachableCodes.has(codeOfAnswer(answer))) chooser.avoid(member);
       shedding.learn(member.incarnation, numberOfAnswer(answer, CallHeader.shedLevel, 0));
     },
   };
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -127,7 +127,10 @@
   }
 
   registry.onChange(() => {
-    if (registry.state() === 'draining') admission.close();
+    if (registry.state() === 'draining') {
+      admission.close();
+      oneShot.leave().catch(() => undefined);
+    }
     refresh();
   });
   configuration.onChange(refresh);
@@ -159,7 +162,7 @@
       subsets,
       homes: createHomeLocator(membership),
       configuration,
-      chooser: createTargetChooser({ dataCentre: settings.dataCentre, random }),
+      chooser: createTargetChooser({ clock, dataCentre: settings.dataCentre, random }),
       shedding,
     }),
     retryBudget: new RetryBudget(clock),
--- a/packages/daemon/src/oneShotSlot.ts
+++ b/packages/daemon/src/oneShotSlot.ts
@@ -13,13 +13,20 @@
   run: OneShotRunner;
   /** Begins unless it has begun. */
   begin(late: Pick<OneShotOptions, 'self' | 'service' | 'shards'>): void;
-  /** Hands the shards over, then ends. */
+  /** Hands the shards over, then ends; a further call waits for the same end. */
   leave(): Promise<void>;
 }
 
 /** Makes an empty slot. */
 export function createOneShotSlot(options: OneShotSlotOptions): OneShotSlot {
   let oneShot: OneShot | undefined;
+  let leaving: Promise<void> | undefined;
+
+  async function handOver(): Promise<void> {
+    await oneShot?.leave();
+    await oneShot?.stop();
+  }
+
   return {
     run: async (key, execute) => {
       if (oneShot) return oneShot.execute(key, execute);
@@ -28,13 +35,13 @@
     },
     begin: (late) => {
       const { store } = options;
-      if (oneShot || !store) return;
+      if (oneShot || leaving || !store) return;
       oneShot = createOneShot({ ...options, ...late, store });
       oneShot.start();
     },
-    leave: async () => {
-      await oneShot?.leave();
-      await oneShot?.stop();
+    leave: () => {
+      leaving ??= handOver();
+      return leaving;
     },
   };
 }
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -305,7 +305,7 @@
         subsets: this.directory(),
         homes: { homeOf: (service, shard) => this.homeOf(service, shard), close: () => undefined },
         configuration,
-        chooser: createTargetChooser({ dataCentre: 'one', random }),
+        chooser: createTargetChooser({ clock, dataCentre: 'one', random }),
         shedding: createCallerShedding(clock, random),
       }),
       retryBudget: new RetryBudget(clock),
