feat(cli): shallotcroft, the operators' command line

History is read before it is written: one write less for each change, and the answer that the golden session loses is now that of the configuration; before, it was that of the history.

--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { createInterface } from 'node:readline/promises';
+import type { Interface } from 'node:readline/promises';
+import { EtcdStore, RpcPeerCaller, systemClock, systemRandom } from '@shallotcroft/core';
+import type { CommandContext } from './commandContext.js';
+import { ExitCode } from './exitCode.js';
+import { processOutput } from './output.js';
+import { runProgram } from './program.js';
+
+/** The process of the command line. */
+
+const peers = new RpcPeerCaller();
+let terminal: Interface | undefined;
+
+function openTerminal(): Interface {
+  const opened = createInterface({ input: process.stdin, output: process.stdout });
+  opened.once('close', () => {
+    if (terminal !== opened) return;
+    processOutput.printError('the input ended before the last question; nothing was written');
+    process.exit(ExitCode.badRequest);
+  });
+  return opened;
+}
+
+const context: CommandContext = {
+  output: processOutput,
+  files: {
+    read: (file) => (existsSync(file) ? readFileSync(file, 'utf8') : undefined),
+    write: (file, text) => writeFileSync(file, text),
+  },
+  variables: process.env,
+  clock: systemClock,
+  random: systemRandom,
+  peers,
+  ask: (question) => {
+    terminal ??= openTerminal();
+    return terminal.question(question);
+  },
+  openStore: (endpoints) => new EtcdStore({ endpoints, clock: systemClock, random: systemRandom }),
+};
+
+process.exitCode = await runProgram(process.argv.slice(2), context);
+const opened = terminal;
+terminal = undefined;
+opened?.close();
+await peers.close();
--- a/packages/core/src/explain.ts
+++ b/packages/core/src/explain.ts
@@ -8,6 +8,12 @@
   calls: string[];
 }
 
+/** A call from outside, with the attempts that it may cause in its whole tree. */
+export interface RootCall {
+  name: string;
+  mostAttempts: number;
+}
+
 /** Everything that follows from the answers for one call. */
 export interface Explanation {
   name: string;
@@ -22,13 +28,13 @@
   deadlineMs: number;
   calledBy: string[];
   calls: string[];
-  /** What reaches this call from outside. */
-  roots: string[];
+  /** Calls from outside that reach this one. */
+  roots: RootCall[];
   /** Services in a row, this one included. */
   depth: number;
   treeSize: number;
   attemptTokens: number;
-  /** Attempts end to end, at most, when this call is the root. */
+  /** Attempts end to end, at most, when this call comes from outside. */
   mostAttempts: number;
   shards: number;
   /** Reasons in words. */
@@ -62,6 +68,12 @@
   return reasons;
 }
 
+/** First attempts follow the call graph; each further one, anywhere, spends a token of the root. */
+function mostAttemptsOf(configuration: Configuration, root: string): number {
+  const tokens = configuration.calls[root]?.attemptTokens ?? 0;
+  return (1 + tokens) * treeSizeOf(configuration.calls, root);
+}
+
 /** Explains one call, or undefined when it is not configured. */
 export function explainCall(configuration: Configuration, name: string): Explanation | undefined {
   const policy = configuration.calls[name];
@@ -81,11 +93,14 @@
     deadlineMs: policy.deadlineMs,
     calledBy,
     calls: policy.children,
-    roots: rootsOf(configuration.calls, name),
+    roots: rootsOf(configuration.calls, name).map((root) => ({
+      name: root,
+      mostAttempts: mostAttemptsOf(configuration, root),
+    })),
     depth: depthOf(configuration.calls, name),
     treeSize,
     attemptTokens: policy.attemptTokens,
-    mostAttempts: (1 + policy.attemptTokens) * treeSize,
+    mostAttempts: mostAttemptsOf(configuration, name),
     shards,
     why: reasonsOf(policy, calledBy, shards),
   };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -177,7 +177,7 @@
 export { differenceOf, textOfChange } from './difference.js';
 export type { Change } from './difference.js';
 export { explainCall, shedOrderOf } from './explain.js';
-export type { Explanation, ShedStep } from './explain.js';
+export type { Explanation, RootCall, ShedStep } from './explain.js';
 export { readSettings } from './settings.js';
 export type { Settings } from './settings.js';
 export type { YamlSource } from './yamlDocument.js';
--- a/packages/core/src/revisions.ts
+++ b/packages/core/src/revisions.ts
@@ -71,6 +71,8 @@
   configuration: Configuration,
 ): Promise<Result<void, Failure>> {
   const key = historyKey(configuration.revision);
+  const found = await store.get(key);
+  if (found.isOk() && found.value) return Ok(undefined);
   let failure: Failure | undefined;
   for (let attempt = 0; attempt < ARCHIVE_ATTEMPTS; attempt++) {
     const kept = await store.swap(key, 0, JSON.stringify(configuration));
