--- a/packages/core/src/callGraph.ts
+++ b/packages/core/src/callGraph.ts
@@ -6,6 +6,15 @@
   return Object.keys(graph).filter((parent) => graph[parent]?.children.includes(name));
 }
 
+/** The calls that make each call, by name; a call that none makes is missing. */
+export function parentIndexOf(graph: CallGraph): Map<string, string[]> {
+  const index = new Map<string, string[]>();
+  Object.entries(graph).forEach(([parent, { children }]) => {
+    children.forEach((child) => index.set(child, [...(index.get(child) ?? []), parent]));
+  });
+  return index;
+}
+
 /** A way that leads from a call back to itself, or undefined when there is none. */
 export function findCycle(graph: CallGraph): string[] | undefined {
   const finished = new Set<string>();
@@ -40,21 +49,34 @@
   return ordered;
 }
 
-/** Calls in the tree below and including `name`, each counted as often as it is reached. */
-export function treeSizeOf(graph: CallGraph, name: string): number {
-  const children = graph[name]?.children ?? [];
-  return children.reduce((size, child) => size + treeSizeOf(graph, child), 1);
+/** Works something out for a call from what it is for each of its children, once for each call. */
+function foldTree(graph: CallGraph, name: string, combine: (children: number[]) => number): number {
+  const known = new Map<string, number>();
+  const valueOf = (call: string): number => {
+    const found = known.get(call);
+    if (found !== undefined) return found;
+    const value = combine((graph[call]?.children ?? []).map(valueOf));
+    known.set(call, value);
+    return value;
+  };
+  return valueOf(name);
 }
 
-/** Names of the calls at the top of every way that leads to `name`; itself when nothing makes it. */
-export function rootsOf(graph: CallGraph, name: string): string[] {
-  const parents = parentsOf(graph, name);
-  if (parents.length === 0) return [name];
-  return [...new Set(parents.flatMap((parent) => rootsOf(graph, parent)))];
+/** Calls in the tree below and including `name`, each counted as often as it is reached. */
+export function treeSizeOf(graph: CallGraph, name: string): number {
+  return foldTree(graph, name, (sizes) => sizes.reduce((sum, size) => sum + size, 1));
 }
 
 /** Calls on the longest way down from `name`, itself included. */
 export function depthOf(graph: CallGraph, name: string): number {
-  const children = graph[name]?.children ?? [];
-  return 1 + Math.max(0, ...children.map((child) => depthOf(graph, child)));
+  return foldTree(graph, name, (depths) => 1 + Math.max(0, ...depths));
+}
+
+/** Names of the calls at the top of every way that leads to `name`; itself when nothing makes it. */
+export function rootsOf(graph: CallGraph, name: string): string[] {
+  const index = parentIndexOf(graph);
+  const seen = new Set([name]);
+  // The set grows while it is walked, until no call above is new.
+  for (const call of seen) (index.get(call) ?? []).forEach((parent) => seen.add(parent));
+  return [...seen].filter((call) => !index.has(call));
 }
--- a/packages/core/src/checks.ts
+++ b/packages/core/src/checks.ts
@@ -1,11 +1,17 @@
 import type { Answers, CallAnswers } from './answers.js';
-import { findCycle, parentsOf } from './callGraph.js';
-import type { CallGraph } from './callGraph.js';
+import { findCycle, parentIndexOf } from './callGraph.js';
 import { callGraphOf, deadlinesOf, isKeyed } from './generate.js';
 import type { YamlProblem } from './yamlDocument.js';
 
 type CallEntry = [name: string, call: CallAnswers];
 
+/** What the checks of one call look things up in. */
+interface CheckedGraph {
+  answers: Answers;
+  parents: Map<string, string[]>;
+  deadlines: Record<string, number>;
+}
+
 function checkService(answers: Answers, [name]: CallEntry): YamlProblem[] {
   const service = name.split('.', 1)[0] as string;
   if (answers.services[service]) return [];
@@ -25,16 +31,15 @@
   });
 }
 
-function checkRoot(graph: CallGraph, [name, call]: CallEntry): YamlProblem[] {
-  if (call.patienceMs !== undefined || parentsOf(graph, name).length > 0) return [];
+function checkRoot(parents: Map<string, string[]>, [name, call]: CallEntry): YamlProblem[] {
+  if (call.patienceMs !== undefined || parents.has(name)) return [];
   const message = 'no other call makes this one, so say how long its callers wait: patienceMs';
   return [{ path: ['calls', name], message }];
 }
 
-function checkPatience(answers: Answers, graph: CallGraph, [name, call]: CallEntry): YamlProblem[] {
-  const deadlines = deadlinesOf(answers);
-  return parentsOf(graph, name).flatMap((parent) => {
-    const longest = deadlines[parent] as number;
+function checkPatience(graph: CheckedGraph, [name, call]: CallEntry): YamlProblem[] {
+  return (graph.parents.get(name) ?? []).flatMap((parent) => {
+    const longest = graph.deadlines[parent] as number;
     if (call.patienceMs === undefined || call.patienceMs <= longest) return [];
     const message = `its caller ${parent} waits ${longest} ms only; write ${longest} or less, or leave it out`;
     return [{ path: ['calls', name, 'patienceMs'], message }];
@@ -42,10 +47,10 @@
 }
 
 /** A key is derived from the parent's, so the chain of keys must reach up to the root. */
-function checkKeys(answers: Answers, graph: CallGraph, [name, call]: CallEntry): YamlProblem[] {
+function checkKeys(graph: CheckedGraph, [name, call]: CallEntry): YamlProblem[] {
   if (!isKeyed(call)) return [];
-  return parentsOf(graph, name).flatMap((parent) => {
-    if (isKeyed(answers.calls[parent] as CallAnswers)) return [];
+  return (graph.parents.get(name) ?? []).flatMap((parent) => {
+    if (isKeyed(graph.answers.calls[parent] as CallAnswers)) return [];
     const message =
       `its caller ${parent} may be repeated and carries no key, so a repetition would run ${name} again; ` +
       `write keyed: true or mayRepeat: false at ${parent}`;
@@ -67,10 +72,12 @@
     const message = `the calls go round in a circle: ${cycle.join(' → ')}; take one of these steps out`;
     return [{ path: ['calls', cycle[0] as string, 'calls'], message }];
   }
-  const roots = entries.flatMap((entry) => checkRoot(graph, entry));
+  const parents = parentIndexOf(graph);
+  const roots = entries.flatMap((entry) => checkRoot(parents, entry));
   if (roots.length > 0) return roots;
+  const checked = { answers, parents, deadlines: deadlinesOf(answers) };
   return entries.flatMap((entry) => [
-    ...checkPatience(answers, graph, entry),
-    ...checkKeys(answers, graph, entry),
+    ...checkPatience(checked, entry),
+    ...checkKeys(checked, entry),
   ]);
 }
--- a/packages/core/src/generate.ts
+++ b/packages/core/src/generate.ts
@@ -1,5 +1,5 @@
 import type { Answers, CallAnswers, ServiceAnswers } from './answers.js';
-import { parentsFirst, parentsOf } from './callGraph.js';
+import { parentIndexOf, parentsFirst } from './callGraph.js';
 import type { CallGraph } from './callGraph.js';
 import type { CallPolicy, Configuration, Importance, ServicePolicy } from './configuration.js';
 
@@ -32,9 +32,10 @@
 /** How long the caller of each call waits, in milliseconds; unanswered, the least patient parent's. */
 export function deadlinesOf(answers: Answers): Record<string, number> {
   const graph = callGraphOf(answers);
+  const parents = parentIndexOf(graph);
   const deadlines: Record<string, number> = {};
   parentsFirst(graph).forEach((name) => {
-    const inherited = parentsOf(graph, name).map((parent) => deadlines[parent] as number);
+    const inherited = (parents.get(name) ?? []).map((parent) => deadlines[parent] as number);
     deadlines[name] = answers.calls[name]?.patienceMs ?? Math.min(...inherited);
   });
   return deadlines;
