fix(core): conservative refusals, listeners that throw, a base without a revision

A gateway's 408 and 409 do not prove that a write was not run; only 400, 401, 403, 404 and 429 do. A listener that throws ended its watch for good; the connection is now opened again and the entry told again. A base that is given while the store holds no revision is a conflict, not a go-ahead. Operators wait 10 s for the store, as a slow answer settles more than none; `status` asks 128 members at once.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,6 +10,9 @@
 
 /** The process of the command line. */
 
+/** An operator waits longer than a daemon does, since a slow answer settles more than none. */
+const STORE_TIMEOUT_MS = 10_000;
+
 const peers = new RpcPeerCaller();
 let terminal: Interface | undefined;
 
@@ -37,7 +40,13 @@
     terminal ??= openTerminal();
     return terminal.question(question);
   },
-  openStore: (endpoints) => new EtcdStore({ endpoints, clock: systemClock, random: systemRandom }),
+  openStore: (endpoints) =>
+    new EtcdStore({
+      endpoints,
+      clock: systemClock,
+      random: systemRandom,
+      timeoutMs: STORE_TIMEOUT_MS,
+    }),
 };
 
 process.exitCode = await runProgram(process.argv.slice(2), context);
--- a/packages/cli/src/statusCommand.ts
+++ b/packages/cli/src/statusCommand.ts
@@ -5,7 +5,7 @@
 import type { CommandContext, CommandFlags, CommandResult } from './commandContext.js';
 import { printJson, printTable } from './output.js';
 
-const ASKED_AT_ONCE = 32;
+const ASKED_AT_ONCE = 128;
 const TIMEOUT_MS = 2000;
 /** Daemons that are named one by one; the rest are counted. */
 const MOST_NAMED = 20;
--- a/packages/core/src/__tests__/applyChange.spec.ts
+++ b/packages/core/src/__tests__/applyChange.spec.ts
@@ -115,6 +115,8 @@
   await applyConfiguration(configurationOf(2), options);
   const outcome = await applyConfiguration(configurationOf(3), { ...options, base: 1 });
   assert.equal(outcome.unwrap().kind, 'conflict');
+  const empty = await applyConfiguration(configurationOf(1), { ...start().options, base: 1 });
+  assert.equal(empty.unwrapErr().code, ResultCode.applyConflict);
 });
 
 test('a change whose answer is lost is accepted once, and its late write changes nothing', async () => {
--- a/packages/core/src/applyChange.ts
+++ b/packages/core/src/applyChange.ts
@@ -103,6 +103,21 @@
   };
 }
 
+/** The operator's answers started from a revision that is not the accepted one. */
+async function otherBase(
+  wanted: Configuration,
+  base: number,
+  accepted: Configuration | undefined,
+  store: Store,
+): Promise<Result<ApplyOutcome, Failure>> {
+  if (!accepted) {
+    const message = `the store holds no accepted revision, so not ${base} either; see \`shallotcroft history\``;
+    return Err(createFailure(ResultCode.applyConflict, message));
+  }
+  const before = await readReplaced(store, base);
+  return Ok(conflictOf(wanted, before.unwrapOr(undefined), accepted));
+}
+
 /** Judges a store that has moved past the base; undefined when it can't be told yet. */
 async function judge(
   store: Store,
@@ -172,9 +187,8 @@
   if (accepted.isErr()) return accepted;
   const base = accepted.value;
   const { configuration } = base;
-  if (options.base !== undefined && configuration && configuration.revision !== options.base) {
-    const before = await readReplaced(store, options.base);
-    return Ok(conflictOf(wanted, before.unwrapOr(undefined), configuration));
+  if (options.base !== undefined && options.base !== (configuration?.revision ?? 0)) {
+    return otherBase(wanted, options.base, configuration, store);
   }
   if (configuration && differenceOf(configuration, wanted).length === 0) {
     return Ok({ kind: 'unchanged', configuration });
--- a/packages/core/src/etcdClient.ts
+++ b/packages/core/src/etcdClient.ts
@@ -10,8 +10,10 @@
 const CONNECTIONS_PER_ENDPOINT = 4;
 const CONNECT_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 10_000;
-const HTTP_CLIENT_ERROR = 400;
-const HTTP_SERVER_ERROR = 500;
+const HTTP_OK = 200;
+
+/** Statuses by which the gateway says that it refused; a cancelled request (408, 499) may be run. */
+const REFUSED_STATUSES = new Set([400, 401, 403, 404, 429]);
 
 /** Errors that come before a byte of the request is sent. */
 const NOT_SENT_CODES = new Set([
@@ -38,7 +40,7 @@
 }
 
 function statusErrorOf(status: number, text: string): AttemptError {
-  const kind = status < HTTP_SERVER_ERROR ? 'refused' : 'unknown';
+  const kind = REFUSED_STATUSES.has(status) ? 'refused' : 'unknown';
   return { kind, message: `HTTP ${status}: ${text.slice(0, 200)}` };
 }
 
@@ -101,7 +103,7 @@
       });
       const text = await answer.body.text();
       const status = answer.statusCode;
-      if (status >= HTTP_CLIENT_ERROR) return Err(statusErrorOf(status, text));
+      if (status !== HTTP_OK) return Err(statusErrorOf(status, text));
       return Ok(JSON.parse(text) as T);
     } catch (error) {
       return Err(attemptErrorOf(error as Error));
--- a/packages/core/src/etcdWatch.ts
+++ b/packages/core/src/etcdWatch.ts
@@ -77,7 +77,8 @@
   /** Runs until closed. */
   async run(): Promise<void> {
     while (!this.closed.signal.aborted) {
-      const end = await this.followOnce();
+      // A listener that throws ends the connection; what it did not take is told again.
+      const end = await this.followOnce().catch((): WatchEnd => 'broken');
       if (end === 'compacted') this.nextRevision = 0;
       if (end === 'broken') await this.backOff();
     }
@@ -164,8 +165,8 @@
     if (!result) return 'broken';
     if (result.canceled) return Number(result.compact_revision ?? 0) > 0 ? 'compacted' : 'broken';
     (result.events ?? []).forEach((event) => {
-      this.nextRevision = Math.max(this.nextRevision, Number(event.kv.mod_revision) + 1);
       this.tell(entryOf(event));
+      this.nextRevision = Math.max(this.nextRevision, Number(event.kv.mod_revision) + 1);
     });
     return undefined;
   }
--- a/playground/src/__tests__/etcdStore.spec.ts
+++ b/playground/src/__tests__/etcdStore.spec.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { TestContext } from 'node:test';
-import { EtcdStore, ResultCode, createSeededRandom, systemClock } from '@shallotcroft/core';
+import {
+  EtcdStore,
+  ResultCode,
+  closeHttp,
+  createSeededRandom,
+  listenHttp,
+  systemClock,
+} from '@shallotcroft/core';
 import type { StoreEntry } from '@shallotcroft/core';
 import { startStoreStandIn } from '../storeStandIn.js';
 import type { StoreStandIn } from '../storeStandIn.js';
@@ -87,6 +94,25 @@
   assert.deepEqual(keys, ['early', 'late']);
 });
 
+test('only a refusal by the gateway promises that nothing was written', async (context) => {
+  const codes = new Map<number, number>([
+    [400, ResultCode.storeUnavailable],
+    [408, ResultCode.storeOutcomeUnknown],
+    [503, ResultCode.storeOutcomeUnknown],
+  ]);
+  for (const [status, code] of codes) {
+    const answer = { status, headers: {}, body: Buffer.from('{}') };
+    const { server, port } = await listenHttp('127.0.0.1', 0, 1000, async () => answer);
+    const store = new EtcdStore({
+      endpoints: [`http://127.0.0.1:${port}`],
+      clock: systemClock,
+      random: createSeededRandom(1),
+    });
+    context.after(() => store.close().then(() => closeHttp(server)));
+    assert.equal((await store.swap('a', 0, 'x')).unwrapErr().code, code, String(status));
+  }
+});
+
 test('an endpoint that refuses is passed over, also for writes', async (context) => {
   const { store } = await start(context, [DEAD_ENDPOINT]);
   assert.equal((await store.swap('a', 0, 'x')).unwrap().swapped, true);
@@ -129,3 +155,18 @@
   await until(() => seen.get('a/1') === 'y');
   watch.close();
 });
+
+test('what a listener does not take is told again', async (context) => {
+  const { standIn, store } = await start(context);
+  const seen: string[] = [];
+  const watch = store.watch('a/', ({ value }) => {
+    seen.push(value);
+    if (seen.length === 1 || seen.length === 3) throw new Error('not taken');
+  });
+  write(standIn, 'a/1', 'x');
+  await until(() => seen.length === 2);
+  write(standIn, 'a/1', 'y');
+  await until(() => seen.length === 4);
+  watch.close();
+  assert.deepEqual(seen, ['x', 'x', 'y', 'y']);
+});
