perf(core): large configurations are stored compressed

At 490 services with 6 calls each the value has 762 KB of JSON. Smaller values stay JSON that people can read in the store; both forms are read. The watcher of the configuration reads through the same codec.

Ruled out: parts under one revision key (more writes and a mixture to guard against, not needed at this size); compressing every value (small ones are worth reading).

Shown to fail with the mechanism off: always plain, no inflating, no check of the size, no check of the shards.

--- a/packages/core/src/applyChange.ts
+++ b/packages/core/src/applyChange.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import type { Clock } from './clock.js';
 import type { Configuration } from './configuration.js';
+import { encodeConfiguration } from './configurationValue.js';
 import { differenceOf } from './difference.js';
 import type { Change } from './difference.js';
 import { createFailure } from './failure.js';
@@ -64,10 +65,10 @@
 }
 
 function checkSize(next: Configuration): string[] {
-  const bytes = Buffer.byteLength(JSON.stringify(next));
+  const bytes = Buffer.byteLength(encodeConfiguration(next));
   if (bytes <= MAX_VALUE_BYTES) return [];
   return [
-    `the configuration has ${bytes} bytes and the store takes ${MAX_VALUE_BYTES}; shorten it`,
+    `the configuration has ${bytes} bytes as it is stored and the store takes ${MAX_VALUE_BYTES}; shorten it`,
   ];
 }
 
@@ -153,9 +154,10 @@
 ): Promise<Result<ApplyOutcome, Failure>> {
   const { store } = options;
   const { base, next } = change;
+  const value = encodeConfiguration(next);
   let isLost = false;
   for (let attempt = 0; attempt < SETTLE_ATTEMPTS; attempt++) {
-    const swap = await store.swap(CONFIGURATION_KEY, base.modRevision, JSON.stringify(next));
+    const swap = await store.swap(CONFIGURATION_KEY, base.modRevision, value);
     if (swap.isOk() && swap.value.swapped) return Ok(acceptedOf(change));
     if (swap.isOk()) {
       const judged = swap.value.current && (await judge(store, change, swap.value.current, isLost));
--- a/packages/core/src/configurationWatcher.ts
+++ b/packages/core/src/configurationWatcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from './clock.js';
 import type { Configuration } from './configuration.js';
+import { decodeConfiguration } from './configurationValue.js';
 import { rendezvous } from './hash.js';
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
@@ -73,9 +74,9 @@
     if (!entry || entry.key !== CONFIGURATION_KEY || entry.modRevision === 0) return;
     valueBytes = entry.value.length;
     try {
-      options.onConfiguration(JSON.parse(entry.value) as Configuration);
+      options.onConfiguration(decodeConfiguration(entry.value));
     } catch {
-      logger.log('error', 'the configuration in the store is not JSON; apply it again');
+      logger.log('error', 'the store holds no readable configuration; apply it again');
     }
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -191,3 +191,4 @@
 export type { Instant } from './oneShotTiming.js';
 export { reassignShard } from './reassignShard.js';
 export type { Reassignment } from './reassignShard.js';
+export { decodeConfiguration, encodeConfiguration } from './configurationValue.js';
--- a/packages/core/src/revisions.ts
+++ b/packages/core/src/revisions.ts
@@ -1,6 +1,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { Configuration } from './configuration.js';
+import { decodeConfiguration, encodeConfiguration } from './configurationValue.js';
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import { ResultCode } from './resultCode.js';
@@ -23,7 +24,7 @@
 /** The configuration that an entry holds. */
 export function parseConfiguration(entry: StoreEntry): Result<Configuration, Failure> {
   try {
-    return Ok(JSON.parse(entry.value) as Configuration);
+    return Ok(decodeConfiguration(entry.value));
   } catch {
     const message = `${entry.key} in the store holds no configuration; find out who wrote it`;
     return Err(createFailure(ResultCode.internal, message));
@@ -75,7 +76,7 @@
   if (found.isOk() && found.value) return Ok(undefined);
   let failure: Failure | undefined;
   for (let attempt = 0; attempt < ARCHIVE_ATTEMPTS; attempt++) {
-    const kept = await store.swap(key, 0, JSON.stringify(configuration));
+    const kept = await store.swap(key, 0, encodeConfiguration(configuration));
     if (kept.isOk()) return Ok(undefined);
     failure = kept.error;
   }
