--- a/playground/src/__tests__/oneShotFleet.spec.ts
+++ b/playground/src/__tests__/oneShotFleet.spec.ts
@@ -44,6 +44,16 @@
   });
 });
 
+test('a home asks its deputy once for all its shards, and the store for nothing', async () => {
+  const fleet = await createFleet({ shards: 64 });
+  const sentBefore = fleet.network.sent.get('oneShot.pledge') ?? 0;
+  const writesBefore = fleet.database.revision;
+  await fleet.advance(10_000);
+  const sent = (fleet.network.sent.get('oneShot.pledge') ?? 0) - sentBefore;
+  assert.ok(sent <= 10 * fleet.daemons.size, `${sent} messages`);
+  assert.equal(fleet.database.revision, writesBefore);
+});
+
 test('a key that is retried gets the answer of its one execution', async () => {
   const fleet = await createFleet();
   const key = fleet.mint();
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -9,3 +9,7 @@
 export type { Target, TargetCall, TargetSettings } from './target.js';
 export { waitUntilReady } from './readiness.js';
 export type { DeployedStore } from './deployment.js';
+export { PausableClock } from './pausableClock.js';
+export { PeerNetwork } from './peerNetwork.js';
+export { OneShotFleet } from './oneShotFleet.js';
+export type { FleetDaemon, FleetOptions } from './oneShotFleet.js';
--- a/playground/src/peerNetwork.ts
+++ b/playground/src/peerNetwork.ts
@@ -19,6 +19,9 @@
 
 /** Control messages between daemons of one process, with cuts and paused ends. Ports are names. */
 export class PeerNetwork {
+  /** Messages sent so far, by method. */
+  readonly sent = new Map<string, number>();
+
   private readonly stations = new Map<number, Station>();
 
   private readonly cuts = new Set<string>();
@@ -61,6 +64,7 @@
     params: unknown,
     timeoutMs: number,
   ): Promise<Result<T, Failure>> {
+    this.sent.set(method, (this.sent.get(method) ?? 0) + 1);
     const answer = await Promise.race([
       this.deliver<T>(from, station, to.port, method, params),
       this.clock.sleep(timeoutMs).then(() => undefined),
