fix(core): a home says "not run" only by what a pledge proves

Cause: a record read from the store was taken as proof that nobody else was home when the read was sent, but a takeover sent earlier may land after the read with an older since. Now only the asking of a pledge proves it.

--- a/packages/core/src/recordRefresh.ts
+++ b/packages/core/src/recordRefresh.ts
@@ -1,5 +1,4 @@
 import type { ShardContext } from './shardContext.js';
-import { calendarOf } from './shardHome.js';
 import type { ShardMoves } from './shardMoves.js';
 import { holderOf } from './shardRecord.js';
 import type { ShardState } from './shardRecord.js';
@@ -54,10 +53,9 @@
   /** True when every shard has a record. */
   private async refresh(): Promise<boolean> {
     const { records, book, options } = this.context;
-    const sentAt = calendarOf(options.clock);
     const listed = await records.list();
     if (listed.isErr()) return false;
-    listed.value.forEach((state) => book.observe(state, sentAt));
+    listed.value.forEach((state) => book.observe(state));
     await this.claimFree();
     for (const state of listed.value) await this.succeed(state);
     await this.rebalance();
--- a/packages/core/src/shardBook.ts
+++ b/packages/core/src/shardBook.ts
@@ -6,7 +6,6 @@
 import type { ShardClaim } from './member.js';
 import type { OneShotTiming } from './oneShotTiming.js';
 import type { ShardDeputy, ShardDeputyFactory } from './shardDeputy.js';
-import { calendarOf } from './shardHome.js';
 import type { ShardHome, ShardHomeFactory } from './shardHome.js';
 import type { Holder, ShardState } from './shardRecord.js';
 
@@ -61,12 +60,12 @@
     return deputy;
   }
 
-  /** Takes in a record read from the store by a request that was sent at `sentAt` (calendar). */
-  observe(state: ShardState, sentAt: number): void {
+  /** Takes in a record that the store has answered. */
+  observe(state: ShardState): void {
     const { shard, revision } = state;
     if (revision <= (this.states.get(shard)?.revision ?? 0)) return;
     this.states.set(shard, state);
-    this.keepOrLose(state, sentAt);
+    this.keepOrLose(state);
     this.keepDeputy(state);
     this.claim();
   }
@@ -110,18 +109,18 @@
     return [...this.stagings.keys()];
   }
 
-  private keepOrLose(state: ShardState, sentAt: number): void {
+  private keepOrLose(state: ShardState): void {
     const { home, shards } = state.record;
     if (shards !== this.options.shards) this.warnOfSplit(state);
-    else if (home.incarnation === this.options.self.incarnation) this.keepHome(state, sentAt);
+    else if (home.incarnation === this.options.self.incarnation) this.keepHome(state);
     else this.loseHome(state.shard, home.incarnation);
   }
 
-  private keepHome(state: ShardState, sentAt: number): void {
+  private keepHome(state: ShardState): void {
     const { shard, revision, record } = state;
     const own = this.homes.get(shard);
-    const home = own && ShardBook.isSameTable(own, state) ? own : this.createHome(state, sentAt);
-    if (home === own) own.adopt(state, sentAt);
+    const home = own && ShardBook.isSameTable(own, state) ? own : this.createHome(state);
+    if (home === own) own.adopt(state);
     else own?.lose();
     this.homes.set(shard, home);
     this.options.logger.log('info', 'home of shard', { shard, revision, since: record.since });
@@ -133,13 +132,15 @@
     return known.handover === record.handover && known.since === record.since;
   }
 
-  private createHome(state: ShardState, sentAt: number): ShardHome {
+  private createHome(state: ShardState): ShardHome {
     const { timing, clock, limits, createHome } = this.options;
     const table = new AnswerTable(limits);
     const loaded = this.loadStaged(state, table);
     // Without the table that belongs to the record, all that ran so far is unknown.
-    const since = loaded ? state.record.since : Math.max(state.record.since, calendarOf(clock));
-    return createHome({ state, table, since, soleAt: sentAt, timing, clock });
+    const since = loaded
+      ? state.record.since
+      : Math.max(state.record.since, clock.date().getTime());
+    return createHome({ state, table, since, timing, clock });
   }
 
   private loadStaged(state: ShardState, table: AnswerTable): boolean {
--- a/packages/core/src/shardHome.ts
+++ b/packages/core/src/shardHome.ts
@@ -4,7 +4,7 @@
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import { timeOfKey } from './idempotencyKey.js';
-import { elapsedSince, readInstant } from './oneShotTiming.js';
+import { elapsedSince } from './oneShotTiming.js';
 import type { Instant, OneShotTiming } from './oneShotTiming.js';
 import { ResultCode, isNotRun } from './resultCode.js';
 import type { ShardState } from './shardRecord.js';
@@ -30,8 +30,6 @@
   table: AnswerTable;
   /** Keys minted up to here and a little later may have been run by an earlier home. */
   since: number;
-  /** Calendar time at which nobody else can have been home. */
-  soleAt: number;
   timing: OneShotTiming;
   clock: Clock;
 }
@@ -55,7 +53,8 @@
 
   private pledge: HeldPledge | undefined;
 
-  private soleAt: number;
+  /** Calendar time of the asking for the last pledge: whoever takes over does so after it. */
+  private soleAt = -Infinity;
 
   private suspended = false;
 
@@ -69,7 +68,6 @@
     this.state = options.state;
     this.table = options.table;
     this.since = options.since;
-    this.soleAt = options.soleAt;
     this.clock = options.clock;
     this.timing = options.timing;
     this.deputySeenAt = this.clock.now();
@@ -109,10 +107,9 @@
     this.releaseHeld();
   }
 
-  /** Goes on with the next record that names this home; `soleAt` is when its swap was sent. */
-  adopt(state: ShardState, soleAt: number): void {
+  /** Goes on with the next record that names this home and its table. */
+  adopt(state: ShardState): void {
     this.state = state;
-    this.soleAt = Math.max(this.soleAt, soleAt);
     this.suspended = false;
     this.deputySeenAt = this.clock.now();
   }
@@ -228,7 +225,7 @@
    * True when nobody can have run a key that is not in the table. A later home serves only keys
    * minted after it took over plus two clock bounds, so after `soleAt` plus one.
    */
-  private isProvenNotRun(minted: number): boolean {
+  protected isProvenNotRun(minted: number): boolean {
     if (this.isServing()) return true;
     if (this.lost || this.suspended) return false;
     return minted <= this.soleAt + this.timing.clockBoundMs;
@@ -240,8 +237,3 @@
 
 /** Makes the homes of production. */
 export const createShardHome: ShardHomeFactory = (options) => new ShardHome(options);
-
-/** A calendar reading for `soleAt`. */
-export function calendarOf(clock: Clock): number {
-  return readInstant(clock).calendar;
-}
--- a/packages/core/src/shardMoves.ts
+++ b/packages/core/src/shardMoves.ts
@@ -2,7 +2,6 @@
 import { mintKey } from './idempotencyKey.js';
 import { OneShotMethod } from './pledge.js';
 import type { ShardContext } from './shardContext.js';
-import { calendarOf } from './shardHome.js';
 import type { ShardHome } from './shardHome.js';
 import type { Holder, RecordSwap, ShardRecord, ShardState } from './shardRecord.js';
 import { recordWithoutTable, takeOver } from './takeover.js';
@@ -45,7 +44,7 @@
   async succeed({ shard, revision, record }: ShardState): Promise<void> {
     const { self, choice, options } = this.context;
     const deputy = choice.deputyFor(self, []);
-    const next = recordWithoutTable(record, self, deputy, calendarOf(options.clock));
+    const next = recordWithoutTable(record, self, deputy, options.clock.date().getTime());
     await this.swapOnce(shard, revision, next);
   }
 
@@ -119,11 +118,10 @@
     });
   }
 
-  /** Takes in the record that `request` brings, with the time at which it was sent. */
+  /** Takes in the record that `request` brings. */
   private async observing(request: () => Promise<ShardState | undefined>): Promise<void> {
-    const sentAt = calendarOf(this.context.options.clock);
     const state = await request();
-    if (state && !this.context.tasks.stopped) this.context.book.observe(state, sentAt);
+    if (state && !this.context.tasks.stopped) this.context.book.observe(state);
   }
 
   private async run(shard: number, move: () => Promise<void>): Promise<void> {
--- a/playground/src/__tests__/brokenParts.ts
+++ b/playground/src/__tests__/brokenParts.ts
@@ -35,3 +35,10 @@
     // Left out on purpose.
   }
 }
+
+export class ClaimsNotRunWithoutProof extends ShardHome {
+  // eslint-disable-next-line class-methods-use-this
+  protected override isProvenNotRun(): boolean {
+    return true;
+  }
+}
--- a/playground/src/__tests__/protocolCases.ts
+++ b/playground/src/__tests__/protocolCases.ts
@@ -1,6 +1,7 @@
 import type { ExplorerLimits } from '../explorer.js';
 import type { OneShotCase } from '../oneShotSystem.js';
 import {
+  ClaimsNotRunWithoutProof,
   CountsPledgeFromAnswer,
   DoesNotCheckBeforeSending,
   DoesNotWaitOutPledges,
@@ -101,4 +102,8 @@
     model: { ...handover, createHome: (options) => new GoesOnDuringOwnSwap(options) },
     limits: deep,
   },
+  'a home without a pledge says "not run" of any key that it does not know': {
+    model: { ...retries, createHome: (options) => new ClaimsNotRunWithoutProof(options) },
+    limits: deep,
+  },
 };
