--- a/packages/core/src/answerTable.ts
+++ b/packages/core/src/answerTable.ts
@@ -30,6 +30,9 @@
   failure?: Failure | undefined;
 }
 
+/** A larger answer would not fit into a control message. */
+const MAX_HANDED_OVER_BYTES = 1024 * 1024;
+
 interface Entry {
   time: number;
   running: Promise<CallOutcome> | undefined;
@@ -121,9 +124,12 @@
     }
   }
 
-  /** All keys, to be handed over; those still running become outcomes unknown. */
+  /** All keys, to be handed over; calls still running and very large answers become unknown. */
   rows(): TableRow[] {
-    return [...this.entries].map(([key, entry]) => rowOf(key, entry.outcome ?? dropped()));
+    return [...this.entries].map(([key, { outcome, bytes }]) => {
+      const isHandedOver = outcome && bytes <= MAX_HANDED_OVER_BYTES;
+      return rowOf(key, isHandedOver ? outcome : dropped());
+    });
   }
 
   /** Takes in rows that another home handed over. */
--- a/packages/core/src/deputyChoice.ts
+++ b/packages/core/src/deputyChoice.ts
@@ -40,9 +40,10 @@
     return chosen ? holderOf(chosen) : null;
   }
 
-  /** The daemon that should be home of a shard; this one counts unless `withoutSelf`. */
+  /** The daemon that should be home of a shard; this one counts if its target takes work. */
   homeFor(shard: number, withoutSelf = false): Member | undefined {
-    const candidates = withoutSelf ? this.others() : [...this.others(), this.self];
+    const selfCounts = !withoutSelf && this.selfServes();
+    const candidates = selfCounts ? [...this.others(), this.self] : this.others();
     const subject = `${this.service}/${shard}`;
     return rank(subject, candidates)[0];
   }
@@ -53,6 +54,11 @@
     return incarnations.sort().join();
   }
 
+  private selfServes(): boolean {
+    const { incarnation, state } = this.self;
+    return (this.directory.memberOf(incarnation)?.state ?? state) === 'serving';
+  }
+
   private others(): Member[] {
     const targets = this.directory.targetsOf(this.service);
     return targets.filter(({ incarnation }) => incarnation !== this.self.incarnation);
--- a/packages/core/src/shardKeeper.ts
+++ b/packages/core/src/shardKeeper.ts
@@ -10,8 +10,12 @@
 import type { ShardHome } from './shardHome.js';
 import { ShardMoves } from './shardMoves.js';
 import { ShardRecords, holderOf } from './shardRecord.js';
+import { Slots } from './slots.js';
 import { TaskGroup } from './taskGroup.js';
 
+/** Unplanned changes of records that a daemon makes at once, so that a lost data centre does not flood the store. */
+const UNPLANNED_MOVES = 2;
+
 /** Looks after the shards of one service at one daemon. */
 export class ShardKeeper {
   readonly book: ShardBook;
@@ -24,6 +28,8 @@
 
   private readonly refresh: RecordRefresh;
 
+  private readonly unplanned = new Slots(UNPLANNED_MOVES);
+
   private leaving = false;
 
   private lastTick: Instant | undefined;
@@ -115,7 +121,10 @@
       this.context.tasks.spawn(() => this.moves.readRecord(shard));
     }
     if (this.leaving || !this.needsDeputy(home)) return;
-    this.context.tasks.spawn(() => this.moves.tryMove(shard, () => this.moves.replaceDeputy(home)));
+    this.moveUnplanned(shard, async () => {
+      const isHome = this.book.homes.get(shard) === home;
+      if (isHome && this.needsDeputy(home)) await this.moves.replaceDeputy(home);
+    });
   }
 
   private needsDeputy(home: ShardHome): boolean {
@@ -132,8 +141,11 @@
 
   private careForDeputy(shard: number): void {
     if (this.leaving || !this.book.deputyOf(shard).mayTakeOver()) return;
-    const { tasks } = this.context;
-    tasks.spawn(() => this.moves.tryMove(shard, () => this.moves.takeOver(shard)));
+    this.moveUnplanned(shard, () => this.moves.takeOver(shard));
+  }
+
+  private moveUnplanned(shard: number, move: () => Promise<void>): void {
+    this.context.tasks.spawn(() => this.moves.tryMove(shard, () => this.unplanned.run(move)));
   }
 
   private async giveAway(home: ShardHome): Promise<void> {
--- a/packages/core/src/shardMoves.ts
+++ b/packages/core/src/shardMoves.ts
@@ -20,7 +20,7 @@
 
   /** Runs `move` after the move of the shard that is under way. */
   async afterMove(shard: number, move: () => Promise<void>): Promise<void> {
-    while (this.underWay.has(shard)) await this.underWay.get(shard);
+    while (this.underWay.has(shard)) await this.underWay.get(shard)?.catch(() => undefined);
     await this.run(shard, move);
   }
 
