feat(scripts): overload measured through real daemons

Cause: the figure that counts is that of whole processes, each daemon beside a target with a fixed number of workers and a queue without bound. Ruled out: targets inside the measuring process (its own event loop would be the bottleneck). The calibration now uses twice as many callers.

--- a/playground/src/deployment.ts
+++ b/playground/src/deployment.ts
@@ -22,6 +22,8 @@
   targetsPerService: number;
   /** Work of a target for one call, in milliseconds. */
   workMs: number;
+  /** Whether calls beyond a target's slots queue at the target. */
+  queueing?: boolean;
   logLevel: LogLevel;
 }
 
@@ -133,6 +135,7 @@
         port: 0,
         daemon: { address: LOOPBACK, port: callPort },
         slots: plan.configuration.services[service]?.slots ?? 1,
+        queueing: plan.queueing ?? false,
         calls: targetCalls(plan, service),
       }),
     ]);
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -9,3 +9,4 @@
 export type { Target, TargetCall, TargetSettings } from './target.js';
 export { waitUntilReady } from './readiness.js';
 export type { DeployedStore } from './deployment.js';
+export { WorkerQueue } from './workerQueue.js';
--- a/playground/src/target.ts
+++ b/playground/src/target.ts
@@ -1,6 +1,7 @@
 import { request } from 'undici';
 import { CallHeader, closeHttp, listenHttp, systemClock } from '@shallotcroft/core';
 import type { CallHeaders, Endpoint, HttpAnswer, HttpMessage } from '@shallotcroft/core';
+import { WorkerQueue } from './workerQueue.js';
 
 const MAX_BODY_BYTES = 1024 * 1024;
 
@@ -22,6 +23,8 @@
   daemon: Endpoint;
   /** Calls worked on at once. */
   slots: number;
+  /** Whether calls beyond the slots queue, without bound; otherwise all are worked on at once. */
+  queueing?: boolean;
   /** By name within the service. */
   calls: Record<string, TargetCall>;
 }
@@ -43,6 +46,9 @@
 
 /** Starts a target that announces itself to its daemon and calls others through it. */
 export async function startTarget(settings: TargetSettings): Promise<Target> {
+  const workers = new WorkerQueue(settings.queueing ? settings.slots : Infinity);
+  const byRoot = new Map<string, number>();
+  let slowness = 1;
   const executions = new Map<string, number>();
   const stopping = new AbortController();
   const daemonUrl = `http://${settings.daemon.address}:${settings.daemon.port}`;
@@ -64,8 +70,34 @@
     return JSON.parse(body);
   }
 
+  /** Routes for measurements: what was begun for each root, and how slow the work is. */
+  function administer(what: string, value: string): HttpAnswer {
+    if (what === 'slowness') slowness = Number(value);
+    const body = JSON.stringify(what === 'executions' ? Object.fromEntries(byRoot) : {});
+    return { status: 200, headers: {}, body: Buffer.from(body) };
+  }
+
+  async function work(call: TargetCall, name: string, message: HttpMessage): Promise<HttpAnswer> {
+    const { service } = settings;
+    message.signal.throwIfAborted();
+    const root = String(message.headers[CallHeader.root] ?? '');
+    byRoot.set(root, (byRoot.get(root) ?? 0) + 1);
+    const key = `${name}#${String(message.headers[CallHeader.key] ?? '')}`;
+    executions.set(key, (executions.get(key) ?? 0) + 1);
+    const part: AnswerPart = {
+      call: `${service}.${name}`,
+      root,
+      below: [],
+    };
+    if (call.workMs > 0) await systemClock.sleep(call.workMs * slowness, message.signal);
+    for (const child of call.children) part.below.push(await callBelow(child, message));
+    const body = Buffer.from(JSON.stringify(part));
+    return { status: 200, headers: { 'content-type': 'application/json' }, body };
+  }
+
   async function handle(message: HttpMessage): Promise<HttpAnswer> {
     const [, service, name] = message.path.split('/');
+    if (service === 'admin') return administer(name ?? '', message.path.split('/')[3] ?? '');
     const call = settings.calls[name ?? ''];
     if (service !== settings.service || !call) {
       return { status: 404, headers: {}, body: Buffer.from('{}') };
@@ -74,17 +106,12 @@
     if (Date.now() > latestStart) {
       return { status: 503, headers: { [CallHeader.refused]: '1' }, body: Buffer.from('{}') };
     }
-    const key = `${name}#${String(message.headers[CallHeader.key] ?? '')}`;
-    executions.set(key, (executions.get(key) ?? 0) + 1);
-    const part: AnswerPart = {
-      call: `${service}.${name}`,
-      root: String(message.headers[CallHeader.root] ?? ''),
-      below: [],
-    };
-    if (call.workMs > 0) await systemClock.sleep(call.workMs, message.signal);
-    for (const child of call.children) part.below.push(await callBelow(child, message));
-    const body = Buffer.from(JSON.stringify(part));
-    return { status: 200, headers: { 'content-type': 'application/json' }, body };
+    await workers.enter();
+    try {
+      return await work(call, name ?? '', message);
+    } finally {
+      workers.leave();
+    }
   }
 
   async function answer(message: HttpMessage): Promise<HttpAnswer> {
--- a/scripts/src/measureOverload.ts
+++ b/scripts/src/measureOverload.ts
@@ -1,6 +1,7 @@
 import { AimdLimit, GradientLimit, VegasLimit, createSeededRandom } from '@shallotcroft/core';
 import { cac } from 'cac';
 import { ControlledChain } from './controlledChain.js';
+import { DaemonChain } from './daemonChain.js';
 import { deepSlots, chainShape } from './overloadChain.js';
 import type { Chain } from './overloadChain.js';
 import { Load } from './overloadLoad.js';
@@ -22,20 +23,31 @@
 const triggers = ['surge', 'slow'] as const;
 type Trigger = (typeof triggers)[number];
 
-const ways: Record<string, () => Chain> = {
-  none: () => new UncontrolledChain('none'),
-  fixed: () => new UncontrolledChain('fixed'),
-  goodput: () => new ControlledChain('goodput'),
-  recovery: () => new ControlledChain('recovery'),
-  vegas: () => new ControlledChain('goodput', (bounds) => new VegasLimit(bounds)),
-  gradient: () => new ControlledChain('goodput', (bounds) => new GradientLimit(bounds)),
-  aimd: () => new ControlledChain('goodput', (bounds) => new AimdLimit(bounds)),
+type ChainFactory = () => Promise<Chain>;
+type ChainFactories = { none: ChainFactory } & Partial<Record<string, ChainFactory>>;
+
+const inProcess: ChainFactories = {
+  none: async () => new UncontrolledChain('none'),
+  fixed: async () => new UncontrolledChain('fixed'),
+  adaptive: async () => new ControlledChain('goodput'),
+  adaptive_recovery: async () => new ControlledChain('recovery'),
+  vegas: async () => new ControlledChain('goodput', (bounds) => new VegasLimit(bounds)),
+  gradient: async () => new ControlledChain('goodput', (bounds) => new GradientLimit(bounds)),
+  aimd: async () => new ControlledChain('goodput', (bounds) => new AimdLimit(bounds)),
+};
+
+/** Through daemons, deadlines and the allowance of attempts hold whatever the limit is. */
+const throughDaemons: ChainFactories = {
+  none: () => DaemonChain.start('none', 'goodput'),
+  fixed: () => DaemonChain.start('fixed', 'goodput'),
+  adaptive: () => DaemonChain.start('adaptive', 'goodput'),
+  adaptive_recovery: () => DaemonChain.start('adaptive', 'recovery'),
 };
 
-/** Most whole answers in a second of the chain alone, with just as many callers as keep it busy. */
-async function measureCapacity(): Promise<number> {
-  const chain = new UncontrolledChain('none');
-  const callers = deepSlots * (chainShape.slots.length + 1);
+/** Most whole answers in a second of the chain alone, with enough callers to keep it busy. */
+async function measureCapacity(create: ChainFactory): Promise<number> {
+  const chain = await create();
+  const callers = 2 * deepSlots * (chainShape.slots.length + 1);
   const startedAt = performance.now();
   const answers = new Array<number>(CALIBRATION_SECONDS).fill(0);
   let second = 0;
@@ -73,14 +85,12 @@
 }
 
 async function measure(
-  way: string,
+  create: ChainFactory,
   trigger: Trigger,
   seconds: number,
   capacity: number,
 ): Promise<OverloadOutcome> {
-  const create = ways[way];
-  if (!create) throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
-  const chain = create();
+  const chain = await create();
   const load = new Load(chain, createSeededRandom(SEED));
   await load.run(phasesOf(chain, trigger, seconds, capacity));
   const executions = await chain.executions();
@@ -98,26 +108,37 @@
   seconds: number;
   ways: string;
   triggers: string;
+  parts: string;
 }
 
 async function main(): Promise<void> {
   const cli = cac('measure:overload');
   cli.option('--seconds <seconds>', 'length of the trigger', { default: 30 });
-  cli.option('--ways <names>', 'ways to compare', { default: 'none,fixed,goodput,recovery' });
+  cli.option('--ways <names>', 'ways to compare', {
+    default: 'none,fixed,adaptive,adaptive_recovery',
+  });
   cli.option('--triggers <names>', 'triggers', { default: triggers.join(',') });
+  cli.option('--parts <parts>', 'in-process or daemons', { default: 'daemons' });
   cli.help();
   const options = cli.parse().options as Options;
   if (options.help) return;
   const seconds = Number(options.seconds);
   const wayNames = options.ways.split(',');
-  const capacity = await measureCapacity();
+  const ways = options.parts === 'daemons' ? throughDaemons : inProcess;
+  const capacity = await measureCapacity(ways.none);
   console.log(
-    `capacity ${capacity.toFixed(0)} whole requests/s, trigger ${seconds} s, seed ${SEED}`,
+    `${options.parts}: capacity ${capacity.toFixed(0)} whole requests/s, trigger ${seconds} s, seed ${SEED}`,
   );
   const results: Record<string, Record<string, OverloadOutcome>> = {};
   for (const trigger of triggers.filter((name) => options.triggers.includes(name))) {
     const outcomes: Record<string, OverloadOutcome> = {};
-    for (const way of wayNames) outcomes[way] = await measure(way, trigger, seconds, capacity);
+    for (const way of wayNames) {
+      const create: ChainFactory | undefined = ways[way];
+      if (!create) {
+        throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
+      }
+      outcomes[way] = await measure(create, trigger, seconds, capacity);
+    }
     printTable(trigger, outcomes);
     printBars(outcomes);
     results[trigger] = outcomes;
--- a/scripts/src/standInTarget.ts
+++ b/scripts/src/standInTarget.ts
@@ -1,4 +1,5 @@
 import { systemClock } from '@shallotcroft/core';
+import { WorkerQueue } from '@shallotcroft/playground';
 
 /** Work of a target after its own part, such as a call further down. */
 export type Continuation = (signal: AbortSignal) => Promise<boolean>;
@@ -8,9 +9,7 @@
   /** Executions begun, by root call. */
   readonly executions = new Map<string, number>();
 
-  private free: number;
-
-  private readonly queue: (() => void)[] = [];
+  private readonly workers: WorkerQueue;
 
   private slowness = 1;
 
@@ -18,7 +17,7 @@
     slots: number,
     private readonly workMs: number,
   ) {
-    this.free = slots;
+    this.workers = new WorkerQueue(slots);
   }
 
   /** Makes the target's own work this many times slower. */
@@ -28,12 +27,12 @@
 
   /** Forgets the calls that queue. */
   stop(): void {
-    this.queue.length = 0;
+    this.workers.clear();
   }
 
   /** Runs one call; false when it failed or was cancelled. A cancelled call gives its slot back. */
   async run(root: string, signal: AbortSignal, below: Continuation): Promise<boolean> {
-    await this.takeSlot();
+    await this.workers.enter();
     try {
       if (signal.aborted) return false;
       this.executions.set(root, (this.executions.get(root) ?? 0) + 1);
@@ -42,24 +41,8 @@
     } catch {
       return false;
     } finally {
-      this.giveSlot();
-    }
-  }
-
-  private async takeSlot(): Promise<void> {
-    if (this.free > 0) {
-      this.free -= 1;
-      return;
+      this.workers.leave();
     }
-    await new Promise<void>((resolve) => {
-      this.queue.push(resolve);
-    });
-  }
-
-  private giveSlot(): void {
-    const next = this.queue.shift();
-    if (next) next();
-    else this.free += 1;
   }
 }
 
