refactor(scripts): overload is measured against the exact capacity

Cause: a calibration run gave 253 to 288/s on a busy machine where 395/s were reached later. Conclusion: capacity is workers by service time, which is an upper bound and the same in every run.

--- a/scripts/src/measureOverload.ts
+++ b/scripts/src/measureOverload.ts
@@ -16,7 +16,6 @@
 const SEED = 20261204;
 const NORMAL_SECONDS = 4;
 const AFTER_SECONDS = 8;
-const CALIBRATION_SECONDS = 4;
 const SURGE = 3;
 const SLOWNESS = 10;
 const NORMAL_SHARE = 0.5;
@@ -24,9 +23,8 @@
 type Trigger = (typeof triggers)[number];
 
 type ChainFactory = () => Promise<Chain>;
-type ChainFactories = { none: ChainFactory } & Partial<Record<string, ChainFactory>>;
 
-const inProcess: ChainFactories = {
+const inProcess: Record<string, ChainFactory> = {
   none: async () => new UncontrolledChain('none'),
   fixed: async () => new UncontrolledChain('fixed'),
   adaptive: async () => new ControlledChain('goodput'),
@@ -37,40 +35,20 @@
 };
 
 /** Through daemons, deadlines and the allowance of attempts hold whatever the limit is. */
-const throughDaemons: ChainFactories = {
+const throughDaemons: Record<string, ChainFactory> = {
   none: () => DaemonChain.start('none', 'goodput'),
   fixed: () => DaemonChain.start('fixed', 'goodput'),
   adaptive: () => DaemonChain.start('adaptive', 'goodput'),
   adaptive_recovery: () => DaemonChain.start('adaptive', 'recovery'),
 };
 
-/** Most whole answers in a second of the chain alone, with enough callers to keep it busy. */
-async function measureCapacity(create: ChainFactory): Promise<number> {
-  const chain = await create();
-  const callers = 2 * deepSlots * (chainShape.slots.length + 1);
-  const startedAt = performance.now();
-  const answers = new Array<number>(CALIBRATION_SECONDS).fill(0);
-  let second = 0;
-  const loops = Array.from({ length: callers }, async (_, caller) => {
-    while (second < CALIBRATION_SECONDS) {
-      const id = `${caller}-${second}`;
-      const attempt = { id, importance: 'high', caller: 'capacity', patienceMs: 5000 } as const;
-      await chain.call(attempt);
-      second = Math.floor((performance.now() - startedAt) / 1000);
-      if (second < CALIBRATION_SECONDS) answers[second] = (answers[second] ?? 0) + 1;
-    }
-  });
-  await Promise.all(loops);
-  await chain.close();
-  return Math.max(...answers);
-}
-
-function slowCapacity(capacity: number): number {
-  const secondsPerCall = deepSlots / capacity;
-  return deepSlots / (secondsPerCall + ((SLOWNESS - 1) * chainShape.workMs) / 1000);
+/** Whole requests a second that the deepest service can answer when its workers never rest. */
+function capacityAt(slowness: number): number {
+  return (1000 * deepSlots) / (chainShape.workMs * slowness);
 }
 
-function phasesOf(chain: Chain, trigger: Trigger, seconds: number, capacity: number): Phase[] {
+function phasesOf(chain: Chain, trigger: Trigger, seconds: number): Phase[] {
+  const capacity = capacityAt(1);
   const normal = NORMAL_SHARE * capacity;
   const surge = trigger === 'surge';
   return [
@@ -88,17 +66,16 @@
   create: ChainFactory,
   trigger: Trigger,
   seconds: number,
-  capacity: number,
 ): Promise<OverloadOutcome> {
   const chain = await create();
   const load = new Load(chain, createSeededRandom(SEED));
-  await load.run(phasesOf(chain, trigger, seconds, capacity));
+  await load.run(phasesOf(chain, trigger, seconds));
   const executions = await chain.executions();
   await chain.close();
   const span = {
     startMs: NORMAL_SECONDS * 1000,
     endMs: (NORMAL_SECONDS + seconds) * 1000,
-    capacity: trigger === 'surge' ? capacity : slowCapacity(capacity),
+    capacity: capacityAt(trigger === 'surge' ? 1 : SLOWNESS),
   };
   return outcomeOf(load.records, executions, span, span.endMs + AFTER_SECONDS * 1000);
 }
@@ -125,9 +102,8 @@
   const seconds = Number(options.seconds);
   const wayNames = options.ways.split(',');
   const ways = options.parts === 'daemons' ? throughDaemons : inProcess;
-  const capacity = await measureCapacity(ways.none);
   console.log(
-    `${options.parts}: capacity ${capacity.toFixed(0)} whole requests/s, trigger ${seconds} s, seed ${SEED}`,
+    `${options.parts}: capacity ${capacityAt(1)} (slow: ${capacityAt(SLOWNESS)}) whole requests/s, trigger ${seconds} s, seed ${SEED}`,
   );
   const results: Record<string, Record<string, OverloadOutcome>> = {};
   for (const trigger of triggers.filter((name) => options.triggers.includes(name))) {
@@ -137,7 +113,7 @@
       if (!create) {
         throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
       }
-      outcomes[way] = await measure(create, trigger, seconds, capacity);
+      outcomes[way] = await measure(create, trigger, seconds);
     }
     printTable(trigger, outcomes);
     printBars(outcomes);
