--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -13,3 +13,4 @@
 export { PeerNetwork } from './peerNetwork.js';
 export { OneShotFleet } from './oneShotFleet.js';
 export type { FleetDaemon, FleetOptions } from './oneShotFleet.js';
+export { WorkerQueue } from './workerQueue.js';
--- a/scripts/src/measureOverload.ts
+++ b/scripts/src/measureOverload.ts
@@ -1,6 +1,7 @@
 import { AimdLimit, GradientLimit, VegasLimit, createSeededRandom } from '@shallotcroft/core';
 import { cac } from 'cac';
 import { ControlledChain } from './controlledChain.js';
+import { DaemonChain } from './daemonChain.js';
 import { deepSlots, chainShape } from './overloadChain.js';
 import type { Chain } from './overloadChain.js';
 import { Load } from './overloadLoad.js';
@@ -15,47 +16,39 @@
 const SEED = 20261204;
 const NORMAL_SECONDS = 4;
 const AFTER_SECONDS = 8;
-const CALIBRATION_SECONDS = 3;
 const SURGE = 3;
 const SLOWNESS = 10;
 const NORMAL_SHARE = 0.5;
 const triggers = ['surge', 'slow'] as const;
 type Trigger = (typeof triggers)[number];
 
-const ways: Record<string, () => Chain> = {
-  none: () => new UncontrolledChain('none'),
-  fixed: () => new UncontrolledChain('fixed'),
-  goodput: () => new ControlledChain('goodput'),
-  recovery: () => new ControlledChain('recovery'),
-  vegas: () => new ControlledChain('goodput', (bounds) => new VegasLimit(bounds)),
-  gradient: () => new ControlledChain('goodput', (bounds) => new GradientLimit(bounds)),
-  aimd: () => new ControlledChain('goodput', (bounds) => new AimdLimit(bounds)),
+type ChainFactory = () => Promise<Chain>;
+
+const inProcess: Record<string, ChainFactory> = {
+  none: async () => new UncontrolledChain('none'),
+  fixed: async () => new UncontrolledChain('fixed'),
+  adaptive: async () => new ControlledChain('goodput'),
+  adaptive_recovery: async () => new ControlledChain('recovery'),
+  vegas: async () => new ControlledChain('goodput', (bounds) => new VegasLimit(bounds)),
+  gradient: async () => new ControlledChain('goodput', (bounds) => new GradientLimit(bounds)),
+  aimd: async () => new ControlledChain('goodput', (bounds) => new AimdLimit(bounds)),
 };
 
-/** Whole answers a second of the chain alone, with just as many callers as keep it busy. */
-async function measureCapacity(): Promise<number> {
-  const chain = new UncontrolledChain('none');
-  const callers = deepSlots * (chainShape.slots.length + 1);
-  const endAt = performance.now() + CALIBRATION_SECONDS * 1000;
-  let answers = 0;
-  const loops = Array.from({ length: callers }, async (_, caller) => {
-    while (performance.now() < endAt) {
-      const id = `${caller}-${answers}`;
-      const attempt = { id, importance: 'high', caller: 'capacity', patienceMs: 5000 } as const;
-      if (await chain.call(attempt)) answers += 1;
-    }
-  });
-  await Promise.all(loops);
-  await chain.close();
-  return answers / CALIBRATION_SECONDS;
-}
+/** Through daemons, deadlines and the allowance of attempts hold whatever the limit is. */
+const throughDaemons: Record<string, ChainFactory> = {
+  none: () => DaemonChain.start('none', 'goodput'),
+  fixed: () => DaemonChain.start('fixed', 'goodput'),
+  adaptive: () => DaemonChain.start('adaptive', 'goodput'),
+  adaptive_recovery: () => DaemonChain.start('adaptive', 'recovery'),
+};
 
-function slowCapacity(capacity: number): number {
-  const secondsPerCall = deepSlots / capacity;
-  return deepSlots / (secondsPerCall + ((SLOWNESS - 1) * chainShape.workMs) / 1000);
+/** Whole requests a second that the deepest service can answer when its workers never rest. */
+function capacityAt(slowness: number): number {
+  return (1000 * deepSlots) / (chainShape.workMs * slowness);
 }
 
-function phasesOf(chain: Chain, trigger: Trigger, seconds: number, capacity: number): Phase[] {
+function phasesOf(chain: Chain, trigger: Trigger, seconds: number): Phase[] {
+  const capacity = capacityAt(1);
   const normal = NORMAL_SHARE * capacity;
   const surge = trigger === 'surge';
   return [
@@ -70,22 +63,19 @@
 }
 
 async function measure(
-  way: string,
+  create: ChainFactory,
   trigger: Trigger,
   seconds: number,
-  capacity: number,
 ): Promise<OverloadOutcome> {
-  const create = ways[way];
-  if (!create) throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
-  const chain = create();
+  const chain = await create();
   const load = new Load(chain, createSeededRandom(SEED));
-  await load.run(phasesOf(chain, trigger, seconds, capacity));
+  await load.run(phasesOf(chain, trigger, seconds));
   const executions = await chain.executions();
   await chain.close();
   const span = {
     startMs: NORMAL_SECONDS * 1000,
     endMs: (NORMAL_SECONDS + seconds) * 1000,
-    capacity: trigger === 'surge' ? capacity : slowCapacity(capacity),
+    capacity: capacityAt(trigger === 'surge' ? 1 : SLOWNESS),
   };
   return outcomeOf(load.records, executions, span, span.endMs + AFTER_SECONDS * 1000);
 }
@@ -95,26 +85,36 @@
   seconds: number;
   ways: string;
   triggers: string;
+  parts: string;
 }
 
 async function main(): Promise<void> {
   const cli = cac('measure:overload');
   cli.option('--seconds <seconds>', 'length of the trigger', { default: 30 });
-  cli.option('--ways <names>', 'ways to compare', { default: 'none,fixed,goodput,recovery' });
+  cli.option('--ways <names>', 'ways to compare', {
+    default: 'none,fixed,adaptive,adaptive_recovery',
+  });
   cli.option('--triggers <names>', 'triggers', { default: triggers.join(',') });
+  cli.option('--parts <parts>', 'in-process or daemons', { default: 'daemons' });
   cli.help();
   const options = cli.parse().options as Options;
   if (options.help) return;
   const seconds = Number(options.seconds);
   const wayNames = options.ways.split(',');
-  const capacity = await measureCapacity();
+  const ways = options.parts === 'daemons' ? throughDaemons : inProcess;
   console.log(
-    `capacity ${capacity.toFixed(0)} whole requests/s, trigger ${seconds} s, seed ${SEED}`,
+    `${options.parts}: capacity ${capacityAt(1)} (slow: ${capacityAt(SLOWNESS)}) whole requests/s, trigger ${seconds} s, seed ${SEED}`,
   );
   const results: Record<string, Record<string, OverloadOutcome>> = {};
   for (const trigger of triggers.filter((name) => options.triggers.includes(name))) {
     const outcomes: Record<string, OverloadOutcome> = {};
-    for (const way of wayNames) outcomes[way] = await measure(way, trigger, seconds, capacity);
+    for (const way of wayNames) {
+      const create: ChainFactory | undefined = ways[way];
+      if (!create) {
+        throw new Error(`unknown way ${way}; take some of ${Object.keys(ways).join(',')}`);
+      }
+      outcomes[way] = await measure(create, trigger, seconds);
+    }
     printTable(trigger, outcomes);
     printBars(outcomes);
     results[trigger] = outcomes;
