fix(core): the first revision is pushed as well; proofs for comparison, pushes and spread subsets

Cause: switching off a mechanism left the tests green for three of them: the comparison of tables, the pushes, and the choice of different data centres for far targets.

--- a/packages/core/src/configurationKeeper.ts
+++ b/packages/core/src/configurationKeeper.ts
@@ -37,7 +37,9 @@
 
 interface PushRequest {
   from: PeerAddress;
-  delta: ConfigurationDelta;
+  revision: number;
+  /** The step that led to it; absent at a daemon that had none before. */
+  delta?: ConfigurationDelta;
 }
 
 interface PullAnswer {
@@ -90,19 +92,21 @@
     return [...new Set([...near, ...others])].map(peerAddressOf);
   }
 
-  async function push(delta: ConfigurationDelta): Promise<void> {
-    const request: PushRequest = { from: peerAddressOf(membership.self()), delta };
+  async function push(): Promise<void> {
+    const { revision, lastDelta } = log;
+    const from = peerAddressOf(membership.self());
+    const request: PushRequest = { from, revision, ...(lastDelta && { delta: lastDelta }) };
     await Promise.all(
       pushTargets().map((to) => peers.call(to, ConfigurationMethod.push, request, PUSH_TIMEOUT_MS)),
     );
   }
 
   function announce(): void {
-    const { current, lastDelta } = log;
+    const { current } = log;
     if (!current || stopping.signal.aborted) return;
     logger.log('info', 'configuration in force', { revision: current.revision });
     listeners.forEach((listener) => listener(current));
-    if (lastDelta) push(lastDelta).catch(() => undefined);
+    push().catch(() => undefined);
   }
 
   function moveTo(configuration: Configuration): void {
@@ -145,9 +149,9 @@
   }
 
   methods.register(ConfigurationMethod.push, async (params) => {
-    const { from, delta } = params as PushRequest;
-    if (delta.to.revision <= log.revision) return log.version();
-    if (log.take(delta)) announce();
+    const { from, revision, delta } = params as PushRequest;
+    if (revision <= log.revision) return log.version();
+    if (delta && log.take(delta)) announce();
     else pull(from).catch(() => undefined);
     return log.version();
   });
--- a/playground/src/__tests__/configurationKeeper.spec.ts
+++ b/playground/src/__tests__/configurationKeeper.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { MembershipMethod } from '@shallotcroft/core';
 import { Fleet, kill } from '../fleet.js';
 import type { FleetDaemon } from '../fleet.js';
 
@@ -38,6 +39,15 @@
   }
 });
 
+test('pushes carry a revision when no exchange of membership gets through', async () => {
+  const fleet = await fleetOf(30);
+  fleet.lostMethods.add(MembershipMethod.exchange);
+  const revision = await fleet.apply();
+  await fleet.clock.advance(1000);
+  const reached = fleet.revisions().filter((one) => one === revision).length;
+  assert.ok(reached > 20, `${reached} of 30`);
+});
+
 test('two daemons of each data centre watch the store, and others take over', async () => {
   const fleet = await fleetOf(30);
   assert.equal(watchersOf(fleet).length, 6);
--- a/playground/src/__tests__/membership.spec.ts
+++ b/playground/src/__tests__/membership.spec.ts
@@ -8,6 +8,9 @@
 /** Longest time in which a newcomer is to be known everywhere, on the manual clock. */
 const NEWS_BOUND_MS = 6000;
 
+/** Longest time in which missed news is made good, without meeting its owner. */
+const COMPARISON_BOUND_MS = 15_000;
+
 async function fleetOf(size: number, seed = 1): Promise<Fleet> {
   const fleet = new Fleet(seed);
   for (let number = 1; number <= size; number++) {
@@ -122,3 +125,21 @@
     assert.equal(targets.length, 19);
   });
 });
+
+test('news that a daemon missed reaches it when the tables are compared', async () => {
+  const fleet = await fleetOf(40);
+  const [cutOff, ...rest] = fleet.daemons;
+  assert.ok(cutOff);
+  const changed = rest.slice(0, 10);
+  fleet.farSide.add(cutOff.membership.self().address);
+  changed.forEach(({ membership }) => {
+    membership.update({ state: 'draining' }).catch(() => undefined);
+  });
+  // Shorter than a suspicion lasts, longer than the news is passed on.
+  await fleet.clock.advance(4000);
+  fleet.farSide.clear();
+  await fleet.clock.advance(COMPARISON_BOUND_MS);
+  const states = changed.map(({ name }) => cutOff.membership.memberOf(name)?.state);
+  assert.deepEqual(new Set(states), new Set(['draining']));
+  assert.equal(cutOff.membership.self().version, 1);
+});
--- a/playground/src/__tests__/targetSubset.spec.ts
+++ b/playground/src/__tests__/targetSubset.spec.ts
@@ -42,6 +42,18 @@
   );
 });
 
+test('with the own data centre and any other lost, a service with targets elsewhere stays reachable', () => {
+  fc.assert(
+    fc.property(fleets, fc.string(), fc.nat(13), (targets, host, lost) => {
+      const subset = chooseTargetSubset({ host, dataCentre: 'dc-0' }, targets);
+      const isLeft = ({ dataCentre }: Member): boolean =>
+        dataCentre !== 'dc-0' && dataCentre !== `dc-${lost}`;
+      assert.equal(subset.some(isLeft), targets.some(isLeft));
+    }),
+    { seed: 19, numRuns: 300 },
+  );
+});
+
 test('a target that goes changes only the subsets that held it', () => {
   fc.assert(
     fc.property(fleets, fc.string(), fc.nat(), (targets, host, pick) => {
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -4,7 +4,9 @@
   MembershipMethod,
   MemoryNetwork,
   MemoryStore,
+  ResultCode,
   createConfigurationKeeper,
+  createFailure,
   createMembership,
   createSeededRandom,
   peerAddressOf,
@@ -20,6 +22,7 @@
   PeerCaller,
   RandomSource,
 } from '@shallotcroft/core';
+import { Err } from 'ts-results-es';
 import { PausableClock } from './pausableClock.js';
 
 /** One daemon of a fleet in memory. */
@@ -105,6 +108,9 @@
   /** The operators' session with the store. */
   readonly store = new MemoryStore(this.clock);
 
+  /** Control methods whose messages are lost. */
+  readonly lostMethods = new Set<string>();
+
   /** Watches that daemons open tell nothing. */
   silentWatches = false;
 
@@ -242,8 +248,12 @@
   private recording(peer: MemoryPeer): PeerCaller {
     return {
       close: () => peer.close(),
-      call: (to, method, params, timeoutMs) => {
+      call: async (to, method, params, timeoutMs) => {
         if (method === MembershipMethod.exchange) this.recorded.push(params);
+        if (this.lostMethods.has(method)) {
+          await this.clock.sleep(timeoutMs);
+          return Err(createFailure(ResultCode.daemonUnreachable, `${method} was lost`));
+        }
         return peer.call(to, method, params, timeoutMs);
       },
     };
