--- a/packages/core/src/antiEntropy.ts
+++ b/packages/core/src/antiEntropy.ts
@@ -1,7 +1,7 @@
 import type { MemberNews } from './memberNews.js';
 import { BUCKET_COUNT, bucketOf } from './memberTable.js';
 import type { VersionEntry } from './memberTable.js';
-import { MembershipMethod } from './membershipContext.js';
+import { MembershipMethod, peerAddressOf } from './membershipContext.js';
 import type { MembershipContext } from './membershipContext.js';
 import type { PeerAddress } from './peer.js';
 
@@ -132,6 +132,26 @@
     return { news: newsOfAll(better), wanted };
   }
 
+  async function pullPage(peer: PeerAddress, firstBucket: number): Promise<PullAnswer | undefined> {
+    const request: PullRequest = { firstBucket };
+    const page = await peers.call<PullAnswer>(
+      peer,
+      MembershipMethod.pull,
+      request,
+      TABLE_TIMEOUT_MS,
+    );
+    return page.isOk() ? page.value : undefined;
+  }
+
+  async function pullPageFromAny(
+    known: PeerAddress,
+    firstBucket: number,
+  ): Promise<PullAnswer | undefined> {
+    const [other] = context.others(1);
+    const page = other && (await pullPage(peerAddressOf(other), firstBucket));
+    return page ?? pullPage(known, firstBucket);
+  }
+
   return {
     compare: async (peer) => {
       const request: CompareRequest = { hashes: encodeHashes(table.bucketHashes()) };
@@ -154,20 +174,14 @@
     },
 
     pull: async (peer) => {
-      let bucket: number | undefined = 0;
-      while (bucket !== undefined) {
-        const request: PullRequest = { firstBucket: bucket };
-        const page = await peers.call<PullAnswer>(
-          peer,
-          MembershipMethod.pull,
-          request,
-          TABLE_TIMEOUT_MS,
-        );
-        if (!page.isOk() || context.stopped.aborted) return false;
-        context.fill(page.value.news);
-        bucket = page.value.nextBucket;
+      let page = await pullPage(peer, 0);
+      while (page && !context.stopped.aborted) {
+        context.fill(page.news);
+        if (page.nextBucket === undefined) return true;
+        // The first page names others; they carry the rest, or few would carry every start.
+        page = await pullPageFromAny(peer, page.nextBucket);
       }
-      return true;
+      return false;
     },
   };
 }
--- a/packages/core/src/configurationWatcher.ts
+++ b/packages/core/src/configurationWatcher.ts
@@ -53,8 +53,15 @@
   let valueBytes = 0;
   let readDueAt = 0;
 
+  let chosenHere: boolean | undefined;
+
+  // The choice is made again only when the fleet has changed.
+  const stopListening = membership.onChange(() => {
+    chosenHere = undefined;
+  });
+
   /** Rendezvous over the data centre: everyone agrees, and the next takes over when one goes. */
-  function isWatcher(): boolean {
+  function isChosen(): boolean {
     const { dataCentre, incarnation } = membership.self();
     const candidates = membership
       .members()
@@ -69,6 +76,11 @@
     return chosen.some((member) => member.incarnation === incarnation);
   }
 
+  function isWatcher(): boolean {
+    chosenHere ??= isChosen();
+    return chosenHere;
+  }
+
   function hear(entry: StoreEntry | undefined): void {
     if (!entry || entry.key !== CONFIGURATION_KEY || entry.modRevision === 0) return;
     valueBytes = entry.value.length;
@@ -122,6 +134,9 @@
       });
     },
     reachable: () => reachable,
-    stop: closeWatch,
+    stop: () => {
+      stopListening();
+      closeWatch();
+    },
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -191,3 +191,6 @@
 export type { Instant } from './oneShotTiming.js';
 export { reassignShard } from './reassignShard.js';
 export type { Reassignment } from './reassignShard.js';
+export { RUMOUR_TRANSMISSIONS, RumourQueue } from './rumourQueue.js';
+export type { MemberNews } from './memberNews.js';
+export { ConfigurationMethod } from './configurationKeeper.js';
--- a/packages/core/src/memberJoin.ts
+++ b/packages/core/src/memberJoin.ts
@@ -48,10 +48,10 @@
   }
 
   async function joinThrough(address: PeerAddress): Promise<boolean> {
-    const { answered } = await exchange.exchange(address, [
+    const { answered, equal } = await exchange.exchange(address, [
       { kind: 'alive', member: context.self() },
     ]);
-    return answered && antiEntropy.pull(address);
+    return answered && (equal || antiEntropy.pull(address));
   }
 
   async function joinThroughAny(): Promise<boolean> {
--- a/scripts/src/flags.ts
+++ b/scripts/src/flags.ts
@@ -6,3 +6,13 @@
   if (!Number.isFinite(value) || value <= 0) throw new Error(`--${name} takes a positive number`);
   return value;
 }
+
+/** Values of a list flag, `--name 5,6`, or `fallback` when it is not given. */
+export function numbersFlag(name: string, fallback: number[]): number[] {
+  const index = process.argv.indexOf(`--${name}`);
+  if (index < 0) return fallback;
+  const values = (process.argv[index + 1] ?? '').split(',').map(Number);
+  const usable = values.length > 0 && values.every((value) => Number.isInteger(value) && value > 0);
+  if (!usable) throw new Error(`--${name} takes positive whole numbers with commas between`);
+  return values;
+}
