feat(scripts): measure how a fleet heals after a cut between two halves

Cause: the cost of a heal was not measured; each member of the other side is overruled by a record of its own.

MemoryNetwork moves to the playground; nothing in the product uses it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -131,8 +131,6 @@
 export type { Membership, MembershipOptions } from './membership.js';
 export type { MemberChange } from './memberRecords.js';
 export type { Carried } from './membershipContext.js';
-export { MemoryNetwork } from './memoryNetwork.js';
-export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
 export { rendezvous, rendezvousScore } from './hash.js';
 export { deriveKey, mintKey, readKey, shardOf, timeOfKey } from './idempotencyKey.js';
 export { rankByRendezvous } from './rendezvous.js';
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -2,7 +2,6 @@
   CONFIGURATION_KEY,
   ManualClock,
   MembershipMethod,
-  MemoryNetwork,
   MemoryStore,
   ResultCode,
   createConfigurationKeeper,
@@ -17,12 +16,13 @@
   ConfigurationKeeper,
   Member,
   Membership,
-  MemoryPeer,
   PeerAddress,
   PeerCaller,
   RandomSource,
 } from '@shallotcroft/core';
 import { Err } from 'ts-results-es';
+import { MemoryNetwork } from './memoryNetwork.js';
+import type { MemoryPeer } from './memoryNetwork.js';
 import { PausableClock } from './pausableClock.js';
 
 /** One daemon of a fleet in memory. */
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -9,3 +9,5 @@
 export type { Target, TargetCall, TargetSettings } from './target.js';
 export { waitUntilReady } from './readiness.js';
 export type { DeployedStore } from './deployment.js';
+export { MemoryNetwork } from './memoryNetwork.js';
+export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
--- a/packages/core/src/memoryNetwork.ts
+++ b/playground/src/memoryNetwork.ts
@@ -1,10 +1,14 @@
+import { ResultCode, createFailure } from '@shallotcroft/core';
+import type {
+  Clock,
+  Failure,
+  PeerAddress,
+  PeerCaller,
+  PeerMethod,
+  PeerMethods,
+} from '@shallotcroft/core';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import type { PeerAddress, PeerCaller, PeerMethod, PeerMethods } from './peer.js';
-import { ResultCode } from './resultCode.js';
 
 /** One end on a `MemoryNetwork`. */
 export interface MemoryPeer extends PeerCaller, PeerMethods {
--- a/scripts/src/measureCapacity.ts
+++ b/scripts/src/measureCapacity.ts
@@ -1,6 +1,7 @@
 import { measureCalls } from './capacityCalls.js';
 import type { CallCost } from './capacityCalls.js';
 import { DESIGN_UPSTREAMS } from './capacityFleet.js';
+import { measureHeal } from './capacityHeal.js';
 import { measureRevisionSpread, measureRumourSpread, measureStoreLoad } from './capacitySpread.js';
 import { measureSteady } from './capacitySteady.js';
 import type { DaemonRate, SteadyCost } from './capacitySteady.js';
@@ -25,6 +26,9 @@
 const REVISION_BOUND_MS = 20_000;
 const STORE_SIZES = [140, 560];
 
+/** Every daemon runs in this part, each with a table of its own. */
+const HEAL_SIZES = [56, 112, 224];
+
 const sizes = numbersFlag('sizes', [250, 1000, 4000, DESIGN_UPSTREAMS]);
 const seconds = numberFlag('seconds', 60);
 const outageSeconds = numberFlag('outage', 3600);
@@ -112,6 +116,8 @@
 for (const size of sizes) revisions.push(await measureRevisionSpread(size, REVISION_BOUND_MS));
 const store = [];
 for (const size of STORE_SIZES) store.push(await measureStoreLoad(size, outageSeconds));
+const heals = [];
+for (const size of HEAL_SIZES) heals.push(await measureHeal(size));
 const rumours = sizes.map(measureRumourSpread);
 const subsets = sizes.map(measureSubsets);
 const day = steady.map((cost) => dayCostOf(cost, calls));
@@ -134,11 +140,23 @@
 );
 print('One daemon on an ordinary day', day);
 print('One daemon when a data centre goes', loss);
+print('One daemon when a cut between two halves heals', heals);
 print('A revision until it is in force everywhere', revisions);
 print('News of a member by rumours alone', rumours);
 print('The store, at rest, down and on its return', store);
 print('Subsets of targets', subsets);
 console.log(`this program: ${rssMegabytes.toFixed(0)} MB resident`);
 console.log(
-  JSON.stringify({ calls, steady, day, loss, revisions, rumours, store, subsets, rssMegabytes }),
+  JSON.stringify({
+    calls,
+    steady,
+    day,
+    loss,
+    heals,
+    revisions,
+    rumours,
+    store,
+    subsets,
+    rssMegabytes,
+  }),
 );
