--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -17,6 +17,8 @@
   createTargetRegistry,
   createTargetRouter,
   createTargetSubsets,
+  leavingAudience,
+  peerAddressOf,
   readBootstrapAddresses,
   serveDirectoryViews,
 } from '@shallotcroft/core';
@@ -99,14 +101,21 @@
 /** Parts that know the fleet and the configuration. */
 function createFleetParts(options: DaemonPartsOptions) {
   const { settings, clock, store } = options;
-  const membership = createMembership({
+  let keeper: ConfigurationKeeper | undefined;
+  const membership: Membership = createMembership({
     ...options,
     self: memberOfSettings(settings, options.incarnation),
     bootstrap: () => readBootstrapAddresses(store, settings.bootstrap, clock),
+    connected: () => {
+      const audience = leavingAudience(membership.self(), membership, keeper?.current());
+      return audience.map(peerAddressOf);
+    },
   });
+  const configuration = createConfigurationKeeper({ ...options, membership });
+  keeper = configuration;
   return {
     membership,
-    configuration: createConfigurationKeeper({ ...options, membership }),
+    configuration,
     bootstrap: store && createBootstrapKeeper({ ...options, store, membership }),
   };
 }
