--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -14,3 +14,5 @@
 export { OneShotFleet } from './oneShotFleet.js';
 export type { FleetDaemon, FleetOptions } from './oneShotFleet.js';
 export { WorkerQueue } from './workerQueue.js';
+export { MemoryNetwork } from './memoryNetwork.js';
+export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
