--- a/playground/src/start.ts
+++ b/playground/src/start.ts
@@ -1,64 +1,132 @@
-import { request } from 'undici';
-import { RpcPeerCaller } from '@shallotcroft/core';
-import type { CallPolicy, Configuration, ServicePolicy } from '@shallotcroft/core';
+import { Agent } from 'undici';
+import {
+  RpcPeerCaller,
+  generateConfiguration,
+  importances,
+  readAnswers,
+  systemClock,
+  systemRandom,
+} from '@shallotcroft/core';
+import type { Configuration } from '@shallotcroft/core';
+import { readExample, runProgram } from '@shallotcroft/cli';
+import type { CommandContext } from '@shallotcroft/cli';
+import { makeCall, runLoad } from './demoLoad.js';
+import type { DemoCall, DemoTally } from './demoLoad.js';
 import { startDeployment } from './deployment.js';
+import type { Deployment } from './deployment.js';
 import { waitUntilReady } from './readiness.js';
 
-/** The main job on an embedded default: the reading circles, thin. */
+/** The main job on an embedded default: the reading circles, small enough for one machine. */
 
-const CALLS = 20;
+const EXAMPLE = 'reading-circles';
+const TARGETS_PER_SERVICE = 2;
+/** The catalogue is the narrow place; the services above it mostly wait for it. */
+const CATALOGUE_SLOTS = 2;
+const SLOTS = 16;
+const WORK_MS = 20;
+const CALM_PER_SECOND = 40;
+const SURGE_PER_SECOND = 500;
+const LOAD_SECONDS = 4;
 
-function service(name: string): ServicePolicy {
-  return { name, slots: 10, connections: 100, limit: 'adaptive', shards: 4 };
+const calls: DemoCall[] = [
+  { name: 'circles.reserveSet', share: 0.06 },
+  { name: 'circles.page', share: 0.14 },
+  { name: 'catalogue.search', share: 0.4 },
+  { name: 'catalogue.browse', share: 0.4 },
+];
+
+function demoConfiguration(): Configuration {
+  const answers = readAnswers({ file: `${EXAMPLE}.yaml`, text: readExample(EXAMPLE) });
+  if (answers.isErr()) throw new Error(answers.error.message);
+  const configuration = generateConfiguration(answers.value);
+  // So small that this machine can bring the targets to their limits.
+  const services = Object.values(configuration.services).map((service) => [
+    service.name,
+    { ...service, slots: service.name === 'catalogue' ? CATALOGUE_SLOTS : SLOTS },
+  ]);
+  return {
+    ...configuration,
+    revision: 1,
+    changeId: EXAMPLE,
+    services: Object.fromEntries(services) as Configuration['services'],
+  };
 }
 
-function call(name: string, children: string[]): CallPolicy {
+function createContext(peers: RpcPeerCaller): CommandContext {
   return {
-    name,
-    service: name.split('.')[0] as string,
-    importance: 'critical',
-    execution: 'repeatable',
-    deadlineMs: 2000,
-    attemptTokens: 2,
-    maxAnswerBytes: 1_000_000,
-    maxBodyBytes: 1_000_000,
-    children,
+    output: { print: console.log, printError: console.error },
+    files: { read: () => undefined, write: () => undefined },
+    variables: {},
+    clock: systemClock,
+    random: systemRandom,
+    peers,
+    ask: () => Promise.resolve(''),
+    openStore: () => {
+      throw new Error('the demonstration opens no store');
+    },
   };
 }
 
-const configuration: Configuration = {
-  revision: 1,
-  changeId: 'thin',
-  objective: 'goodput',
-  services: {
-    circles: service('circles'),
-    reservations: service('reservations'),
-    catalogue: service('catalogue'),
-  },
-  calls: {
-    'circles.reserve': call('circles.reserve', ['reservations.reserve']),
-    'reservations.reserve': call('reservations.reserve', ['catalogue.hold']),
-    'catalogue.hold': call('catalogue.hold', []),
-  },
-};
+function textOfOthers(tally: DemoTally): string {
+  return [...tally.others].map(([result, count]) => `${result} ${count}`).join(', ') || '-';
+}
 
+function printTallies(title: string, tallies: DemoTally[]): void {
+  const ordered = [...tallies].sort(
+    (one, other) => importances.indexOf(one.importance) - importances.indexOf(other.importance),
+  );
+  console.log(`\n${title}`);
+  console.table(
+    Object.fromEntries(
+      ordered.map((tally) => [
+        tally.importance,
+        { sent: tally.sent, answered: tally.answered, 'not answered': textOfOthers(tally) },
+      ]),
+    ),
+  );
+}
+
+async function runDemo(deployment: Deployment, configuration: Configuration): Promise<void> {
+  const agent = new Agent({ connections: 512 });
+  const callPorts = deployment.hosts.map((host) => host.callPort);
+  console.log('\nOne call of each kind, each through another daemon:');
+  for (const [index, { name }] of calls.entries()) {
+    const answer = await makeCall(callPorts[index] as number, name, agent);
+    console.log(`${name}: ${answer.status} ${answer.result} ${answer.body}`);
+  }
+  const load = { calls, callPorts, seconds: LOAD_SECONDS };
+  const calm = await runLoad({ ...load, perSecond: CALM_PER_SECOND }, configuration, agent);
+  printTallies(`${CALM_PER_SECOND} calls a second: all are answered`, calm);
+  const surge = await runLoad({ ...load, perSecond: SURGE_PER_SECOND }, configuration, agent);
+  printTallies(`${SURGE_PER_SECOND} calls a second: the least important are shed first`, surge);
+  await agent.close();
+}
+
+async function showByCommandLine(deployment: Deployment, peers: RpcPeerCaller): Promise<void> {
+  const context = createContext(peers);
+  const { peer } = deployment.hosts[0] as Deployment['hosts'][number];
+  const daemon = ['--daemon', `${peer.address}:${peer.port}`];
+  console.log('\n$ shallotcroft status');
+  await runProgram(['status', ...daemon], context);
+  console.log('\n$ shallotcroft histograms --measure latency --group importance');
+  const filters = ['--measure', 'latency', '--group', 'importance'];
+  await runProgram(['histograms', ...daemon, ...filters], context);
+}
+
+const configuration = demoConfiguration();
+console.log('starting a store, daemons and targets, each a process of its own');
+const peers = new RpcPeerCaller();
 const deployment = await startDeployment({
   configuration,
-  dataCentres: ['hobart', 'launceston'],
-  targetsPerService: 2,
-  workMs: 1,
-  logLevel: 'warn',
+  dataCentres: ['hobart', 'launceston', 'devonport', 'burnie'],
+  targetsPerService: TARGETS_PER_SERVICE,
+  workMs: WORK_MS,
+  queueing: true,
+  logLevel: 'error',
 });
-const peers = new RpcPeerCaller();
 await waitUntilReady(deployment, peers, configuration.revision);
-const entry = deployment.hosts[5];
-for (let index = 0; index < CALLS; index++) {
-  const answer = await request(`http://127.0.0.1:${entry?.callPort}/call/circles/reserve`, {
-    method: 'POST',
-    headers: { 'x-shallotcroft-caller': `member-${index % 3}` },
-    body: '{}',
-  });
-  console.log(answer.statusCode, await answer.body.text());
-}
+await runDemo(deployment, configuration);
+await showByCommandLine(deployment, peers);
 await peers.close();
 await deployment.stop();
+console.log('\nstopped cleanly');
