fix(core): work below ends with its call; answers without a code are no daemon's

Cause: (1) when the connection to a target was lost, what that target had under way below went on to its deadline; (2) an answer to a hop without a result code, such as a proxy's or a starting daemon's empty 503, counted as the target's whole answer; (3) a handler that threw was answered with 400, the family "not run", although it may have done its work; a body that was too large carried no code.

Now a running call's signal is aborted when it ends, an answer without a code is `internal` and counts as an outcome that is not known, a thrown error is 5999, refused bodies say 3007 or 3001, and a starting daemon says 1004.

With (1) off one spec fails, with the caller's signal cut another, with (2) off a third.

--- /dev/null
+++ b/packages/core/src/__tests__/callPath.spec.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { v7 as uuidv7 } from 'uuid';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { codeOfAnswer } from '../callAnswer.js';
+import { CallTransport } from '../call.js';
+import type { CallAnswer, CallRequest, Endpoint } from '../call.js';
+import { CallHeader } from '../callHeaders.js';
+import { createCallOrigins } from '../callOrigin.js';
+import type { CallPolicy, Configuration } from '../configuration.js';
+import { createFailure } from '../failure.js';
+import type { Failure } from '../failure.js';
+import { createGateway } from '../gateway.js';
+import { createGuard } from '../guard.js';
+import { createHistograms } from '../histograms.js';
+import { silentLogger } from '../logger.js';
+import { ManualClock } from '../manualClock.js';
+import type { Member } from '../member.js';
+import { createSeededRandom } from '../random.js';
+import { ResultCode } from '../resultCode.js';
+import { RetryBudget } from '../retryBudget.js';
+import { createRunningCalls } from '../runningCalls.js';
+import type { RunningCall } from '../runningCalls.js';
+import { createAdmission } from '../targetAdmission.js';
+import { createTargetRegistry } from '../targetRegistry.js';
+
+const MAX_BODY_BYTES = 10;
+
+const policy: CallPolicy = {
+  name: 'consents.approve',
+  service: 'consents',
+  importance: 'critical',
+  execution: 'repeatable',
+  deadlineMs: 1000,
+  attemptTokens: 0,
+  maxAnswerBytes: 1000,
+  maxBodyBytes: MAX_BODY_BYTES,
+  children: ['payments.notify'],
+};
+
+const configuration: Configuration = {
+  revision: 1,
+  changeId: 'test',
+  objective: 'recovery',
+  services: {
+    consents: { name: 'consents', slots: 2, connections: 2, limit: 'none', shards: 1 },
+  },
+  calls: { [policy.name]: policy },
+};
+
+type Answering = (request: CallRequest) => Promise<Result<CallAnswer, Failure>>;
+
+/** Gives the answers of a test instead of a network's. */
+class AnsweringTransport extends CallTransport {
+  constructor(private readonly answering: Answering) {
+    super();
+  }
+
+  send(_to: Endpoint, _path: string, request: CallRequest) {
+    return this.answering(request);
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  async close(): Promise<void> {
+    // Nothing is open.
+  }
+}
+
+function createTestGuard(answering: Answering) {
+  const clock = new ManualClock();
+  const runningCalls = createRunningCalls();
+  const registry = createTargetRegistry({ clock });
+  registry.announce({ service: 'consents', address: '127.0.0.1', port: 1 });
+  const guard = createGuard({
+    clock,
+    transport: new AnsweringTransport(answering),
+    admission: createAdmission({
+      clock,
+      settings: { limit: 'none', slots: 2, objective: 'recovery' },
+    }),
+    registry,
+    runningCalls,
+    histograms: createHistograms(),
+    logger: silentLogger,
+    configuration: () => configuration,
+    levelBelow: () => 0,
+    oneShot: async () => Err(createFailure(ResultCode.notHome, 'not used')),
+  });
+  const headers = {
+    [CallHeader.root]: 'root',
+    [CallHeader.caller]: 'agent',
+    [CallHeader.importance]: 'critical',
+    [CallHeader.deadline]: '500',
+    [CallHeader.tokens]: '0',
+  };
+  const handle = (signal = new AbortController().signal) =>
+    guard.handle({ call: policy.name, headers, body: Buffer.alloc(0) }, signal);
+  return { handle, runningCalls };
+}
+
+const answerOf = (status: number, headers = {}): CallAnswer => ({
+  status,
+  headers,
+  body: Buffer.from('{}'),
+});
+
+test('what a target still makes below is cancelled when its connection is lost', async () => {
+  let running: RunningCall | undefined;
+  const { handle, runningCalls } = createTestGuard(async (request) => {
+    running = runningCalls.find(request.headers[CallHeader.parent] ?? '');
+    assert.equal(running?.signal.aborted, false);
+    return Err(createFailure(ResultCode.unknownConnectionLost, 'the connection was reset'));
+  });
+  assert.equal(codeOfAnswer(await handle()), ResultCode.unknownConnectionLost);
+  assert.equal(running?.signal.aborted, true);
+  assert.equal(runningCalls.count(), 0);
+});
+
+test('what a target makes below is cancelled when the caller goes', async () => {
+  const gone = new AbortController();
+  const { handle, runningCalls } = createTestGuard(async (request) => {
+    const running = runningCalls.find(request.headers[CallHeader.parent] ?? '');
+    gone.abort();
+    assert.equal(running?.signal.aborted, true);
+    return Err(createFailure(ResultCode.unknownCancelled, 'cancelled'));
+  });
+  await handle(gone.signal);
+});
+
+test('a target can not say that a call was not run by passing on a result code', async () => {
+  const { handle } = createTestGuard(async () =>
+    Ok(answerOf(502, { [CallHeader.code]: '1005', [CallHeader.tokensLeft]: '9' })),
+  );
+  const answer = await handle();
+  assert.equal(codeOfAnswer(answer), ResultCode.ok);
+  assert.equal(answer.headers[CallHeader.tokensLeft], '0');
+});
+
+function createTestGateway(answering: Answering) {
+  const clock = new ManualClock();
+  const member: Member = {
+    incarnation: uuidv7(),
+    version: 1,
+    host: 'consents-0',
+    dataCentre: 'perth',
+    service: 'consents',
+    state: 'serving',
+    address: '127.0.0.1',
+    callPort: 1,
+    peerPort: 1,
+    homes: [],
+  };
+  return createGateway({
+    clock,
+    random: createSeededRandom(1),
+    transport: new AnsweringTransport(answering),
+    router: {
+      choose: () => Ok(member),
+      begin: () => undefined,
+      end: () => undefined,
+      noteAnswer: () => undefined,
+      noteFailure: () => undefined,
+    },
+    retryBudget: new RetryBudget(clock),
+    histograms: createHistograms(),
+    logger: silentLogger,
+    originOf: createCallOrigins({
+      clock,
+      configuration: () => configuration,
+      runningCalls: createRunningCalls(),
+    }),
+  });
+}
+
+test('an answer that no daemon gave is not taken for a whole one', async () => {
+  const gateway = createTestGateway(async () => Ok(answerOf(200)));
+  const request = { call: policy.name, headers: {}, body: Buffer.alloc(0) };
+  const answer = await gateway.call(request, new AbortController().signal);
+  assert.equal(codeOfAnswer(answer), ResultCode.internal);
+});
+
+test('a body that is larger than configured is refused before anything is sent', async () => {
+  const gateway = createTestGateway(async () => assert.fail('nothing is to be sent'));
+  const request = { call: policy.name, headers: {}, body: Buffer.alloc(MAX_BODY_BYTES + 1) };
+  const answer = await gateway.call(request, new AbortController().signal);
+  assert.equal(codeOfAnswer(answer), ResultCode.badBodyTooLarge);
+});
--- a/packages/core/src/callAnswer.ts
+++ b/packages/core/src/callAnswer.ts
@@ -40,9 +40,9 @@
   };
 }
 
-/** Result code of an answer; answers without one come from a target and are whole. */
+/** Result code of a daemon's answer; `internal` when it carries none, so that no daemon gave it. */
 export function codeOfAnswer(answer: CallAnswer): ResultNumber {
-  const number = Number(answer.headers[CallHeader.code] ?? ResultCode.ok);
+  const number = Number(answer.headers[CallHeader.code] ?? ResultCode.internal);
   return resultNameOf(number) ? (number as ResultNumber) : ResultCode.internal;
 }
 
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -153,7 +153,9 @@
     for (;;) {
       const end = await attempt(call);
       if (end.code === ResultCode.ok) return end;
-      if (isOutcomeUnknown(end.code)) call.recordUnknownOutcome();
+      if (isOutcomeUnknown(end.code) || end.code === ResultCode.internal) {
+        call.recordUnknownOutcome();
+      }
       if (!(await prepareRetry(call, end))) return truthful(call, end);
     }
   }
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -140,7 +140,19 @@
     const { policy, context, allowance, signal } = call;
     const id = uuidv7();
     const below = new CallsBelow(clock);
-    runningCalls.begin({ id, policy, context, allowance, signal, below, children: new Map() });
+    const wanted = new AbortController();
+    const cancel = (): void => wanted.abort(signal.reason);
+    if (signal.aborted) cancel();
+    signal.addEventListener('abort', cancel, { once: true });
+    runningCalls.begin({
+      id,
+      policy,
+      context,
+      allowance,
+      signal: wanted.signal,
+      below,
+      children: new Map(),
+    });
     options.histograms.record({
       importance: context.importance,
       caller: context.caller,
@@ -149,6 +161,9 @@
     });
     const result = await sendToTarget(call, id, bounds);
     runningCalls.end(id);
+    // Calls below that are still under way serve nobody any more.
+    wanted.abort(new Error('the call is over'));
+    signal.removeEventListener('abort', cancel);
     permit.release(outcomeOf(result, signal, below), below.elapsedMs());
     return result;
   }
@@ -191,12 +206,12 @@
     return options.oneShot(key, (bounds) => admitAndRun(kept, bounds));
   }
 
-  /** Only this daemon says what the code is: a target may pass on headers of calls that it made. */
   function shedLevelFor(request: CallRequest): number {
     const policy = options.configuration()?.calls[request.call];
     return Math.max(admission.shedLevel(), policy ? options.levelBelow(policy) : 0);
   }
 
+  /** Only this daemon says what the code is: a target may pass on headers of calls that it made. */
   function finish(
     result: Result<CallAnswer, Failure>,
     request: CallRequest,
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -2,9 +2,15 @@
 import type { IncomingMessage, OutgoingHttpHeaders, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { answerOfFailure } from './callAnswer.js';
 import { CallHeader } from './callHeaders.js';
 import { systemClock } from './clock.js';
 import type { Clock } from './clock.js';
+import { createFailure } from './failure.js';
+import type { Failure } from './failure.js';
+import { ResultCode } from './resultCode.js';
 
 /** A request that has not arrived whole by then is cut off, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 15_000;
@@ -79,6 +85,20 @@
   response.end(answer.body);
 }
 
+/** The body, or why nothing was done with the request. */
+async function readWhole(
+  incoming: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Buffer, Failure>> {
+  try {
+    return Ok(await readBody(incoming, limitBytes));
+  } catch (error) {
+    const tooLarge = error instanceof BodyTooLargeError;
+    const code = tooLarge ? ResultCode.badBodyTooLarge : ResultCode.badRequest;
+    return Err(createFailure(code, (error as Error).message));
+  }
+}
+
 async function serve(
   incoming: IncomingMessage,
   response: ServerResponse,
@@ -89,23 +109,22 @@
   response.on('close', () => {
     if (!response.writableFinished) gone.abort(new Error('the caller has gone'));
   });
-  const body = await readBody(incoming, limitBytes);
+  const body = await readWhole(incoming, limitBytes);
+  if (body.isErr()) {
+    writeAnswer(response, answerOfFailure(body.error));
+    return;
+  }
   const answer = await handler({
     method: incoming.method ?? 'GET',
     path: (incoming.url ?? '/').split('?', 1)[0] as string,
     headers: incoming.headers,
-    body,
+    body: body.value,
     remoteAddress: incoming.socket.remoteAddress ?? '',
     signal: gone.signal,
   });
   writeAnswer(response, answer);
 }
 
-function answerOfError(error: Error): HttpAnswer {
-  const status = error instanceof BodyTooLargeError ? 413 : 400;
-  return { status, headers: {}, body: Buffer.from(JSON.stringify({ message: error.message })) };
-}
-
 /** Listens for HTTP and answers every request through `handler`. */
 export function listenHttp(
   address: string,
@@ -120,7 +139,9 @@
   const application = polka({ server });
   application.use((incoming, response) => {
     const served = serve(incoming, response, limitBytes, handler).catch((error: unknown) => {
-      writeAnswer(response, answerOfError(error as Error));
+      // The handler may have done its work, so this must not look like a refusal.
+      const failure = createFailure(ResultCode.internal, (error as Error).message);
+      writeAnswer(response, answerOfFailure(failure));
     });
     active.add(served);
     served.finally(() => active.delete(served)).catch(() => undefined);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,8 +3,11 @@
   HttpCallTransport,
   MAX_SILENCE_MS,
   PeerServer,
+  ResultCode,
   RpcPeerCaller,
+  answerOfFailure,
   closeHttp,
+  createFailure,
   createSupervisor,
   listenHttp,
   startInterimAnswers,
@@ -56,8 +59,9 @@
 ): Promise<ListeningServer> {
   return listenHttp(settings.address, settings.callPort, MAX_BODY_BYTES, async (message) => {
     const handler = routes();
-    if (!handler) return { status: 503, headers: {}, body: Buffer.alloc(0) };
-    return handler(message);
+    if (handler) return handler(message);
+    const notYet = 'the daemon is starting; try again';
+    return answerOfFailure(createFailure(ResultCode.notRunNoTarget, notYet));
   });
 }
 
