--- a/playground/src/deployment.ts
+++ b/playground/src/deployment.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -7,7 +7,7 @@
 import type { Configuration, LogLevel, PeerAddress } from '@shallotcroft/core';
 import { startProcess } from './processes.js';
 import type { PlaygroundProcess } from './processes.js';
-import type { TargetCall } from './target.js';
+import type { LoggedExecution, TargetCall } from './target.js';
 
 const LOOPBACK = '127.0.0.1';
 const daemonProgram = fileURLToPath(import.meta.resolve('@shallotcroft/daemon/main'));
@@ -25,6 +25,8 @@
   /** Whether calls beyond a target's slots queue at the target. */
   queueing?: boolean;
   logLevel: LogLevel;
+  /** Keeps a log of all executions, which costs targets time. */
+  logsExecutions?: boolean;
 }
 
 /** A daemon and the target beside it, each a process. */
@@ -51,6 +53,8 @@
   store: DeployedStore;
   hosts: DeployedHost[];
   hostsOf(service: string): DeployedHost[];
+  /** Executions that have begun so far, when the plan asks for their log. */
+  executions(): LoggedExecution[];
   /** Stops everything gracefully. */
   stop(): Promise<void>;
 }
@@ -101,6 +105,8 @@
 /** Starts the store, daemons and targets of a plan on loopback. */
 export async function startDeployment(plan: DeploymentPlan): Promise<Deployment> {
   const folder = mkdtempSync(path.join(tmpdir(), 'shallotcroft-'));
+  const executionLog = path.join(folder, 'executions.log');
+  writeFileSync(executionLog, '');
   const hosts: DeployedHost[] = [];
   const store = await startStore();
   await writeConfiguration(store, plan.configuration);
@@ -137,6 +143,7 @@
         slots: plan.configuration.services[service]?.slots ?? 1,
         queueing: plan.queueing ?? false,
         calls: targetCalls(plan, service),
+        ...(plan.logsExecutions ? { executionLog } : {}),
       }),
     ]);
     const peer = { address: LOOPBACK, port: peerPort };
@@ -153,6 +160,10 @@
     store,
     hosts,
     hostsOf: (service) => hosts.filter((host) => host.service === service),
+    executions: () => {
+      const lines = readFileSync(executionLog, 'utf8').split('\n').filter(Boolean);
+      return lines.map((line) => JSON.parse(line) as LoggedExecution);
+    },
     stop: async () => {
       await Promise.all(hosts.map((host) => host.daemon.end('SIGTERM')));
       await Promise.all(hosts.map((host) => host.target.end('SIGTERM')));
--- a/playground/src/target.ts
+++ b/playground/src/target.ts
@@ -1,3 +1,4 @@
+import { appendFileSync } from 'node:fs';
 import { request } from 'undici';
 import { CallHeader, closeHttp, listenHttp, systemClock } from '@shallotcroft/core';
 import type { CallHeaders, Endpoint, HttpAnswer, HttpMessage } from '@shallotcroft/core';
@@ -27,6 +28,15 @@
   queueing?: boolean;
   /** By name within the service. */
   calls: Record<string, TargetCall>;
+  /** File to which each execution is written as it begins, one line of JSON each. */
+  executionLog?: string;
+}
+
+/** An execution as it is written to the log. */
+export interface LoggedExecution {
+  call: string;
+  root: string;
+  key: string;
 }
 
 /** A target that runs. */
@@ -77,18 +87,26 @@
     return { status: 200, headers: {}, body: Buffer.from(body) };
   }
 
+  function logExecution(execution: LoggedExecution): void {
+    if (!settings.executionLog) return;
+    // Written at once, so that it is known even if this process is killed next.
+    appendFileSync(settings.executionLog, `${JSON.stringify(execution)}\n`);
+  }
+
   async function work(call: TargetCall, name: string, message: HttpMessage): Promise<HttpAnswer> {
     const { service } = settings;
     message.signal.throwIfAborted();
     const root = String(message.headers[CallHeader.root] ?? '');
     byRoot.set(root, (byRoot.get(root) ?? 0) + 1);
-    const key = `${name}#${String(message.headers[CallHeader.key] ?? '')}`;
-    executions.set(key, (executions.get(key) ?? 0) + 1);
+    const key = String(message.headers[CallHeader.key] ?? '');
+    const executed = `${name}#${key}`;
+    executions.set(executed, (executions.get(executed) ?? 0) + 1);
     const part: AnswerPart = {
       call: `${service}.${name}`,
       root,
       below: [],
     };
+    logExecution({ call: part.call, root, key });
     if (call.workMs > 0) await systemClock.sleep(call.workMs * slowness, message.signal);
     for (const child of call.children) part.below.push(await callBelow(child, message));
     const body = Buffer.from(JSON.stringify(part));
