test(playground): a lost attempt and then a refused one stays "unknown"

Cause: with the gateway's memory of an earlier doubt off, no session failed. Now "lost-and-then-refused" does (large print: told 1005 and ran).

--- a/playground/src/__tests__/sessions.spec.ts
+++ b/playground/src/__tests__/sessions.spec.ts
@@ -8,6 +8,7 @@
 type Script = (world: SessionWorld, deployment: SessionDeployment) => Promise<void>;
 
 const PAUSE_MS = 5000;
+const RETRY_BUDGET_MS = 30_000;
 
 function setFaults(world: SessionWorld, ends: string[], fault: LinkFault, times = Infinity): void {
   ends.forEach((end) => world.network.setFault('*', end, fault, times));
@@ -54,6 +55,16 @@
     world.network.setFault(`${top}-0`, `${top}-1:1`, 'answerLost');
     await callCritical(world, deployment, 'outcome-unknown');
     world.network.clearFaults();
+    // Time enough for the retry budget to fill again.
+    await world.run(RETRY_BUDGET_MS);
+    const setHopFaults = (fault: LinkFault) =>
+      daemonsOf(top).forEach((end) => world.network.setFault(`${top}-0`, end, fault));
+    setHopFaults('answerLost');
+    const doubtful = callCritical(world, deployment, 'lost-and-then-refused');
+    await world.run(10);
+    setHopFaults('cut');
+    await doubtful;
+    world.network.clearFaults();
     world.changeBehaviour(top, { refuses: true });
     await callCritical(world, deployment, 'target-refuses');
     world.changeBehaviour(top, { refuses: false, overloaded: true });
