test(core): a store slower than the operator's patience

Eight tries whose answers are all lost and whose writes all land late: the outcome is told as unknown, one of them takes effect, and applying again says that the answers are accepted already. Fails (with four others) when the store's compare is off.

--- a/packages/core/src/__tests__/applyChange.spec.ts
+++ b/packages/core/src/__tests__/applyChange.spec.ts
@@ -164,6 +164,24 @@
   assert.ok(unknown.message.includes(configuration?.changeId ?? 'none'));
 });
 
+test('a store slower than patience leaves it unknown; applying again finds it accepted', async () => {
+  const { clock, store, options } = start();
+  const changes: string[] = [];
+  const watch = store.session().watch(CONFIGURATION_KEY, ({ value }) => changes.push(value));
+  await applyConfiguration(configurationOf(1), options);
+  const slow = new LossyStore(clock, store.database);
+  slow.effects.push('late', 'late', 'late', 'late', 'late', 'late', 'late', 'late');
+  const changed = applyConfiguration(configurationOf(2), { ...options, store: slow });
+  const unknown = (await settle(clock, changed)).unwrapErr();
+  assert.equal(unknown.code, ResultCode.storeOutcomeUnknown);
+  slow.landLateWrites();
+  const again = await applyConfiguration(configurationOf(2), options);
+  assert.equal(again.unwrap().kind, 'unchanged');
+  await ManualClock.settle();
+  watch.close();
+  assert.equal(changes.length, 2);
+});
+
 test('revisions go on when the store has lost the accepted one', async () => {
   const { store, options } = start();
   await applyConfiguration(configurationOf(1), options);
