feat(core): a deputy is asked before it is named; the first shard settles their number

Candidates are asked first, and a silent home is avoided for a minute. A daemon that is told another number of shards claims, pledges and takes in nothing: two splits of a key space could run a key twice. A leaving home offers a shard to three daemons, for 15 s at most.

--- a/packages/core/src/deputyChoice.ts
+++ b/packages/core/src/deputyChoice.ts
@@ -40,12 +40,12 @@
     return chosen ? holderOf(chosen) : null;
   }
 
-  /** The daemon that should be home of a shard; this one counts if its target takes work. */
-  homeFor(shard: number, withoutSelf = false): Member | undefined {
+  /** The daemons that may be home of a shard, best first; this one counts if its target takes work. */
+  homesFor(shard: number, withoutSelf = false): Member[] {
     const selfCounts = !withoutSelf && this.selfServes();
     const candidates = selfCounts ? [...this.others(), this.self] : this.others();
     const subject = `${this.service}/${shard}`;
-    return rank(subject, candidates)[0];
+    return rank(subject, candidates);
   }
 
   /** Changes when the daemons that take work change. */
--- a/packages/core/src/handover.ts
+++ b/packages/core/src/handover.ts
@@ -32,6 +32,7 @@
 export const stagedTableSchema = z.object({
   service: z.string(),
   to: z.string(),
+  shardCount: z.number(),
   shard: z.number(),
   handover: z.string(),
   part: z.number(),
--- a/packages/core/src/oneShotTiming.ts
+++ b/packages/core/src/oneShotTiming.ts
@@ -22,6 +22,8 @@
   holdMs: number;
   /** How long a leaving home waits for calls that run. */
   drainMs: number;
+  /** How long a leaving home tries to hand its shards over. */
+  leaveMs: number;
 }
 
 /** Durations for production. */
@@ -36,6 +38,7 @@
   refreshSpreadMs: 20_000,
   holdMs: 1000,
   drainMs: 2000,
+  leaveMs: 15_000,
 };
 
 /** A moment on both clocks of a host. */
--- a/packages/core/src/pledge.ts
+++ b/packages/core/src/pledge.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod';
+import type { PeerCaller } from './peer.js';
+import type { Holder } from './shardRecord.js';
 
 /** Control methods of the at-most-once protocol, between the daemons of one service. */
 export const OneShotMethod = {
@@ -21,6 +23,7 @@
   service: z.string(),
   home: z.string(),
   deputy: z.string(),
+  shardCount: z.number(),
   shards: z.array(shardRevisionSchema),
 });
 
@@ -32,3 +35,19 @@
   deputy: string;
   granted: ShardRevision[];
 }
+
+/** True when this very run of the daemon answers within `timeoutMs` milliseconds. */
+export async function isAlive(
+  peers: PeerCaller,
+  service: string,
+  holder: Holder,
+  timeoutMs: number,
+): Promise<boolean> {
+  const answer = await peers.call<PledgeAnswer>(
+    { address: holder.address, port: holder.peerPort },
+    OneShotMethod.pledge,
+    { service, home: '', deputy: holder.incarnation, shardCount: 0, shards: [] },
+    timeoutMs,
+  );
+  return answer.isOk() && answer.value.deputy === holder.incarnation;
+}
--- a/packages/core/src/pledgeExchange.ts
+++ b/packages/core/src/pledgeExchange.ts
@@ -33,6 +33,7 @@
       service: options.service,
       home: self.incarnation,
       deputy: deputy.incarnation,
+      shardCount: options.shards,
       shards,
     };
     const answer = await options.peers.call<PledgeAnswer>(
@@ -49,8 +50,8 @@
   answer(request: PledgeRequest): PledgeAnswer {
     const { self, options, tasks } = this.context;
     const deputy = self.incarnation;
-    const meant = request.deputy === deputy && request.service === options.service;
-    if (!meant || tasks.stopped) return { deputy, granted: [] };
+    const sameSplit = request.service === options.service && request.shardCount === options.shards;
+    if (request.deputy !== deputy || !sameSplit || tasks.stopped) return { deputy, granted: [] };
     return { deputy, granted: request.shards.filter((asked) => this.grant(asked, request.home)) };
   }
 
--- a/packages/core/src/reassignShard.ts
+++ b/packages/core/src/reassignShard.ts
@@ -4,8 +4,7 @@
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import type { PeerCaller } from './peer.js';
-import { OneShotMethod } from './pledge.js';
-import type { PledgeAnswer } from './pledge.js';
+import { OneShotMethod, isAlive } from './pledge.js';
 import { ResultCode } from './resultCode.js';
 import { ShardRecords } from './shardRecord.js';
 import type { Holder, RecordSwap, ShardState } from './shardRecord.js';
@@ -33,16 +32,6 @@
   return Err(createFailure(ResultCode.badRequest, message));
 }
 
-async function isAlive(peers: PeerCaller, service: string, holder: Holder): Promise<boolean> {
-  const answer = await peers.call<PledgeAnswer>(
-    { address: holder.address, port: holder.peerPort },
-    OneShotMethod.pledge,
-    { service, home: '', deputy: holder.incarnation, shards: [] },
-    ASK_TIMEOUT_MS,
-  );
-  return answer.isOk() && answer.value.deputy === holder.incarnation;
-}
-
 function resultOfSwap(swap: RecordSwap): Result<ShardState, Failure> {
   if (swap.outcome === 'swapped') return Ok(swap.state);
   if (swap.outcome === 'moved') {
@@ -73,7 +62,8 @@
   const unnamed = holders.find(({ incarnation }) => !ended.includes(incarnation));
   if (unnamed) return refusal(`make sure that ${unnamed.incarnation} has ended, and say so`);
   for (const holder of holders) {
-    if (await isAlive(peers, service, holder)) return refusal(`${holder.incarnation} is alive`);
+    const alive = await isAlive(peers, service, holder, ASK_TIMEOUT_MS);
+    if (alive) return refusal(`${holder.incarnation} is alive`);
   }
   const since = clock.date().getTime() + SINCE_MARGIN_MS;
   const swap = await records.swap(shard, revision, recordWithoutTable(record, to, null, since));
--- a/packages/core/src/recordRefresh.ts
+++ b/packages/core/src/recordRefresh.ts
@@ -64,8 +64,11 @@
 
   private async claimFree(): Promise<void> {
     const { book, choice, self, options } = this.context;
-    for (let shard = 0; shard < options.shards; shard++) {
-      const wanted = choice.homeFor(shard)?.incarnation === self.incarnation;
+    // Whoever claims the first shard settles the number of shards for all.
+    if (!book.states.has(0)) await this.moves.tryMove(0, () => this.moves.claim(0));
+    if (book.states.get(0)?.record.shards !== options.shards) return;
+    for (let shard = 1; shard < options.shards; shard++) {
+      const wanted = choice.homesFor(shard)[0]?.incarnation === self.incarnation;
       if (wanted && !book.states.has(shard)) {
         await this.moves.tryMove(shard, () => this.moves.claim(shard));
       }
@@ -84,7 +87,7 @@
   private async rebalance(): Promise<void> {
     const { book, choice, self, tasks } = this.context;
     for (const home of [...book.homes.values()]) {
-      const wanted = choice.homeFor(home.state.shard);
+      const wanted = choice.homesFor(home.state.shard)[0];
       const here = !wanted || wanted.incarnation === self.incarnation;
       if (!here && !tasks.stopped && home.isServing()) {
         const move = (): Promise<void> => this.moves.handOver(home, holderOf(wanted), false);
--- a/packages/core/src/shardKeeper.ts
+++ b/packages/core/src/shardKeeper.ts
@@ -16,6 +16,9 @@
 /** Unplanned changes of records that a daemon makes at once, so that a lost data centre does not flood the store. */
 const UNPLANNED_MOVES = 2;
 
+/** Daemons that a leaving home offers a shard to, one after the other. */
+const MAX_SUCCESSORS = 3;
+
 /** Looks after the shards of one service at one daemon. */
 export class ShardKeeper {
   readonly book: ShardBook;
@@ -66,10 +69,16 @@
     });
   }
 
-  /** Hands every shard to another daemon. */
+  /** Hands every shard to another daemon; gives up after a while, as when the store is down. */
   async leave(): Promise<void> {
     this.leaving = true;
-    await Promise.all([...this.book.homes.values()].map((home) => this.giveAway(home)));
+    const { clock, timing } = this.options;
+    const left = new AbortController();
+    const homes = [...this.book.homes.values()];
+    const handovers = Promise.all(homes.map((home) => this.giveAway(home)));
+    const patience = clock.sleep(timing.leaveMs, left.signal).catch(() => undefined);
+    await Promise.race([handovers, patience]);
+    left.abort();
   }
 
   /** Ends everything; what was begun at the target goes on. */
@@ -80,13 +89,14 @@
   }
 
   private registerMethods(): void {
-    const { methods, service } = this.options;
+    const { methods, service, shards } = this.options;
     methods.register(OneShotMethod.pledge, async (params) =>
       this.pledges.answer(pledgeRequestSchema.parse(params)),
     );
     methods.register(OneShotMethod.stage, async (params) => {
       const table = stagedTableSchema.parse(params);
-      const meant = table.to === this.context.self.incarnation && table.service === service;
+      const sameSplit = table.service === service && table.shardCount === shards;
+      const meant = table.to === this.context.self.incarnation && sameSplit;
       return meant && !this.leaving && this.book.stage(table);
     });
     methods.register(OneShotMethod.changed, async (params) => {
@@ -150,11 +160,12 @@
 
   private async giveAway(home: ShardHome): Promise<void> {
     const { shard } = home.state;
-    const successor = this.context.choice.homeFor(shard, true);
-    if (!successor) return;
-    await this.moves.afterMove(shard, async () => {
-      if (this.book.homes.get(shard) !== home) return;
-      await this.moves.handOver(home, holderOf(successor), true);
-    });
+    const successors = this.context.choice.homesFor(shard, true).slice(0, MAX_SUCCESSORS);
+    for (const successor of successors) {
+      await this.moves.afterMove(shard, async () => {
+        if (this.book.homes.get(shard) !== home) return;
+        await this.moves.handOver(home, holderOf(successor), true);
+      });
+    }
   }
 }
--- a/packages/core/src/shardMoves.ts
+++ b/packages/core/src/shardMoves.ts
@@ -1,11 +1,14 @@
 import { sendTable } from './handover.js';
 import { mintKey } from './idempotencyKey.js';
-import { OneShotMethod } from './pledge.js';
+import { OneShotMethod, isAlive } from './pledge.js';
 import type { ShardContext } from './shardContext.js';
 import type { ShardHome } from './shardHome.js';
 import type { Holder, RecordSwap, ShardRecord, ShardState } from './shardRecord.js';
 import { recordWithoutTable, takeOver } from './takeover.js';
 
+/** Daemons that are asked, one after the other, whether they can be deputy. */
+const MAX_CANDIDATES = 3;
+
 /** Every change of a shard record that a daemon makes; one at a time for each shard. */
 export class ShardMoves {
   private readonly underWay = new Map<number, Promise<void>>();
@@ -53,29 +56,43 @@
     const { book, records, self, choice, options } = this.context;
     const deputy = book.deputyOf(shard);
     const { clock } = options;
-    const chooseDeputy = ({ home }: ShardRecord): Holder | null =>
-      choice.deputyFor(self, [home.incarnation]);
+    const chooseDeputy = ({ home }: ShardRecord): Holder | null => {
+      // It was silent for as long as a pledge lasts.
+      choice.avoid(home.incarnation);
+      return choice.deputyFor(self, []);
+    };
     await this.observing(() => takeOver({ deputy, records, self, clock, chooseDeputy }));
   }
 
   /** Names another deputy, or none when there is no other daemon. */
   async replaceDeputy(home: ShardHome): Promise<void> {
-    const { self, choice } = this.context;
     const { record } = home.state;
-    const excluded = record.deputy ? [record.deputy.incarnation] : [];
-    await this.ownSwap(home, { ...record, deputy: choice.deputyFor(self, excluded) });
+    const deputy = await this.answeringDeputy(record.deputy ? [record.deputy.incarnation] : []);
+    if (deputy || record.deputy) await this.ownSwap(home, { ...record, deputy });
+  }
+
+  /** The best deputy that answers now, or null. */
+  private async answeringDeputy(excluded: string[]): Promise<Holder | null> {
+    const { self, choice, options } = this.context;
+    const { peers, service, timing } = options;
+    for (let tried = 0; tried < MAX_CANDIDATES; tried++) {
+      const candidate = choice.deputyFor(self, excluded);
+      if (!candidate) return null;
+      if (await isAlive(peers, service, candidate, timing.pledgeIntervalMs)) return candidate;
+      choice.avoid(candidate.incarnation);
+    }
+    return null;
   }
 
   /** Gives a shard and its table to another daemon. */
   async handOver(home: ShardHome, to: Holder, leaving: boolean): Promise<void> {
     const { choice, options, self } = this.context;
     const { record, shard, revision } = home.state;
-    const { peers, service, clock, random, timing } = options;
+    const { peers, service, shards: shardCount, clock, random, timing } = options;
     home.suspend();
-    const running = Promise.allSettled(home.table.running());
-    await Promise.race([running, clock.sleep(timing.drainMs)]);
+    await this.drain(home);
     const handover = mintKey(clock, random);
-    if (!(await sendTable(peers, to, { service, shard, handover }, home.table))) {
+    if (!(await sendTable(peers, to, { service, shardCount, shard, handover }, home.table))) {
       home.resume();
       return;
     }
@@ -85,6 +102,16 @@
     await peers.call(address, OneShotMethod.changed, { shard, revision }, timing.pledgeIntervalMs);
   }
 
+  /** Waits a while for the calls that run. */
+  private async drain(home: ShardHome): Promise<void> {
+    const { clock, timing } = this.context.options;
+    const ended = new AbortController();
+    const running = Promise.allSettled(home.table.running());
+    const patience = clock.sleep(timing.drainMs, ended.signal).catch(() => undefined);
+    await Promise.race([running, patience]);
+    ended.abort();
+  }
+
   /** Swaps the record of a shard that this daemon is home of; nothing is begun meanwhile. */
   private async ownSwap(home: ShardHome, next: ShardRecord): Promise<void> {
     const { shard, revision } = home.state;
--- a/playground/src/__tests__/oneShotFleet.spec.ts
+++ b/playground/src/__tests__/oneShotFleet.spec.ts
@@ -170,6 +170,37 @@
   assert.deepEqual(fleet.violations(), []);
 });
 
+test('a leave goes on to the next daemon when the first does not answer, and ends in an outage', async () => {
+  const fleet = await createFleet();
+  const keys = mintMany(fleet, 20);
+  await callAll(fleet, keys);
+  const leaver = fleet.homeOf(keys[0] as string) as string;
+  const others = [...fleet.daemons.keys()].filter((name) => name !== leaver);
+  fleet.cut(leaver, others[0] as string);
+  await callAll(fleet, [], 5000);
+  const left = fleet.daemon(leaver).oneShot.leave();
+  await fleet.advance(20_000);
+  await left;
+  assert.deepEqual(fleet.daemon(leaver).oneShot.status(), []);
+  const again = await callAll(fleet, keys);
+  assert.ok(again.every((code) => code === ResultCode.ok));
+  fleet.setStoreDown(true);
+  const ended = fleet.daemon(others[0] as string).oneShot.leave();
+  await fleet.advance(20_000);
+  await ended;
+  assert.deepEqual(fleet.violations(), []);
+});
+
+test('daemons that are told another number of shards claim none', async () => {
+  const fleet = await createFleet({ shards: 2 });
+  const shards = 4;
+  const misled = fleet.add('devonport1', 'devonport', shards);
+  await fleet.advance(SETTLE_MS);
+  assert.deepEqual(misled.oneShot.status(), []);
+  const records = fleet.database.list('shallotcroft/shards/');
+  assert.equal(records.length, 2);
+});
+
 test('a key sent through every daemon at once, with a lost store answer and a kill, runs once', async () => {
   const fleet = await createFleet({ workMs: 50 });
   const all = [...fleet.daemons.keys()];
--- a/playground/src/__tests__/protocolCases.ts
+++ b/playground/src/__tests__/protocolCases.ts
@@ -48,7 +48,7 @@
 export const soundCases: Record<string, ProtocolCase> = {
   'takeover of a shard': { model: takeover, limits: limitsOf(9) },
   'two attempts of a key': { model: retries, limits: limitsOf(8) },
-  'change of deputy': { model: deputyChange, limits: limitsOf(8) },
+  'change of deputy': { model: deputyChange, limits: limitsOf(9) },
   'planned handover': { model: handover, limits: limitsOf(8) },
   'a slow way to a target that enforces the latest start': {
     model: { ...takeover, targetStart: 'delayedWithLatestStart' },
--- a/playground/src/oneShotFleet.ts
+++ b/playground/src/oneShotFleet.ts
@@ -95,7 +95,7 @@
   constructor(private readonly options: FleetOptions) {}
 
   /** Starts a daemon; one with the name of an ended one listens where that did. */
-  add(name: string, dataCentre: string): FleetDaemon {
+  add(name: string, dataCentre: string, shards = this.options.shards): FleetDaemon {
     const earlier = this.daemons.get(name);
     const peerPort = earlier?.member.peerPort ?? FIRST_PORT + this.daemons.size;
     const run = Number(earlier?.member.incarnation.split('#')[1] ?? 0) + 1;
@@ -113,7 +113,7 @@
     };
     const clock = new PausableClock(this.clock);
     const store = new MemoryStore(this.clock, this.database);
-    const oneShot = this.createOneShot(member, clock, store);
+    const oneShot = this.createOneShot(member, clock, store, shards);
     const daemon: FleetDaemon = { name, member, clock, store, oneShot, alive: true };
     this.daemons.set(name, daemon);
     this.changed();
@@ -208,8 +208,13 @@
     await this.clock.advance(ms);
   }
 
-  private createOneShot(member: Member, clock: PausableClock, store: MemoryStore): OneShot {
-    const { shards, timing, createHome, createDeputy, onLog } = this.options;
+  private createOneShot(
+    member: Member,
+    clock: PausableClock,
+    store: MemoryStore,
+    shards: number,
+  ): OneShot {
+    const { timing, createHome, createDeputy, onLog } = this.options;
     return createOneShot({
       self: member,
       service: SERVICE,
