fix(core): a daemon that found no address on its start asks again while it is alone

Cause: with the store down and no address in the settings, a daemon read its bootstrap addresses again only after six hours. While it knows no other member it now asks every 15 s or so, with jitter; in a fleet that has come together the six hours stay (0.46 reads/s at 10,000).

Proof: "a daemon that found no address on its start joins once there is one" fails before, passes after.

--- a/packages/core/src/memberJoin.ts
+++ b/packages/core/src/memberJoin.ts
@@ -7,6 +7,9 @@
 /** Age at which the bootstrap addresses are read again, in milliseconds. */
 const BOOTSTRAP_AGE_MS = 6 * 60 * 60 * 1000;
 
+/** The same while this daemon knows no other, in milliseconds. */
+const LONELY_AGE_MS = 15_000;
+
 /** First pause between two tries to join, in milliseconds; it doubles. */
 const FIRST_BACKOFF_MS = 500;
 
@@ -31,6 +34,7 @@
   const { clock, random, table } = context;
   let addresses: PeerAddress[] = [];
   let readAt = 0;
+  let jitter = 1;
 
   function takeRandom<T>(list: T[]): T | undefined {
     return list.splice(Math.floor(random.next() * list.length), 1)[0];
@@ -43,6 +47,7 @@
 
   async function readAddresses(): Promise<void> {
     readAt = clock.now();
+    jitter = 0.5 + random.next();
     const read = await bootstrap();
     if (read.length > 0) addresses = read.filter((address) => !isOwn(address));
   }
@@ -82,7 +87,8 @@
       }
     },
     reunite: async () => {
-      if (clock.now() - readAt > BOOTSTRAP_AGE_MS) await readAddresses();
+      const oldest = table.size > 1 ? BOOTSTRAP_AGE_MS : LONELY_AGE_MS;
+      if (clock.now() - readAt > oldest * jitter) await readAddresses();
       const lapsed = takeRandom(table.goneMembers().filter((gone) => !isFinal(gone)))?.member;
       const strange = strangeAddress();
       if (strange && (!lapsed || random.next() < 0.5)) {
--- a/playground/src/__tests__/membership.spec.ts
+++ b/playground/src/__tests__/membership.spec.ts
@@ -156,3 +156,14 @@
   await told;
   assert.equal(daemon.membership.self().version, version + 1);
 });
+
+test('a daemon that found no address on its start joins once there is one', async () => {
+  const fleet = await fleetOf(3);
+  const { bootstrap } = fleet;
+  fleet.bootstrap = [];
+  const late = await fleet.join('10.0.0.9');
+  await fleet.clock.advance(NEWS_BOUND_MS);
+  assert.deepEqual(Fleet.viewOf(late), [late.name]);
+  fleet.bootstrap = bootstrap;
+  assert.notEqual(await fleet.timeToAgree(DETECTION_BOUND_MS), undefined);
+});
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -53,7 +53,7 @@
 }
 
 /** Addresses that every daemon of a fleet joins through. */
-const bootstrap: PeerAddress[] = ['10.0.0.1', '10.0.0.2'].map((address) => ({
+const bootstrapAddresses: PeerAddress[] = ['10.0.0.1', '10.0.0.2'].map((address) => ({
   address,
   port: 7002,
 }));
@@ -102,6 +102,9 @@
 
   readonly daemons: FleetDaemon[] = [];
 
+  /** Addresses that daemons join through. */
+  bootstrap = bootstrapAddresses;
+
   /** Addresses on the far side of a partition. */
   readonly farSide = new Set<string>();
 
@@ -143,7 +146,7 @@
       random: this.random,
       peers: this.recording(peer),
       methods: peer,
-      bootstrap: async () => bootstrap,
+      bootstrap: async () => this.bootstrap,
       logger: silentLogger,
     });
     const store = this.store.session();
