--- a/playground/src/systemWorld.ts
+++ b/playground/src/systemWorld.ts
@@ -1,4 +1,10 @@
-import { CONFIGURATION_KEY, MemoryDatabase, MemoryStore, silentLogger } from '@shallotcroft/core';
+import {
+  CONFIGURATION_KEY,
+  MemoryDatabase,
+  MemoryStore,
+  createSeededRandom,
+  silentLogger,
+} from '@shallotcroft/core';
 import type { Configuration, Logger } from '@shallotcroft/core';
 import { createDaemonParts } from '@shallotcroft/daemon';
 import type { DaemonParts } from '@shallotcroft/daemon';
@@ -120,7 +126,8 @@
       },
       incarnation: `${host.name}.${this.started}`,
       clock,
-      random: this.random,
+      // A source of its own, so that a change at one daemon leaves the others' choices alone.
+      random: createSeededRandom(this.started),
       logger: this.loggerOf(host.name),
       daemonTransport: transport,
       targetTransport: transport,
