--- a/playground/src/__tests__/sessions.spec.ts
+++ b/playground/src/__tests__/sessions.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import type { LinkFault } from '../callNetwork.js';
+import type { CallerAnswer } from '../invariants.js';
 import { checkSession } from '../session.js';
 import { addHosts, daemonsOf, sessionDeployments, targetsOf } from '../sessionDeployments.js';
 import type { SessionDeployment } from '../sessionDeployments.js';
@@ -9,6 +10,10 @@
 
 const PAUSE_MS = 5000;
 const RETRY_BUDGET_MS = 30_000;
+const SURGE_ROUNDS = 40;
+const SURGE_STEP_MS = 50;
+const CALLERS = 24;
+const IMPORTANT_CALLERS = 2;
 
 function setFaults(world: SessionWorld, ends: string[], fault: LinkFault, times = Infinity): void {
   ends.forEach((end) => world.network.setFault('*', end, fault, times));
@@ -166,6 +171,37 @@
     await forget('daemons-to-targets', hosts, targets);
   },
 
+  'important calls are shed last': async (world, deployment) => {
+    addHosts(world, deployment, { workMs: 50 });
+    world.omitCalls();
+    const surge: Promise<CallerAnswer>[] = [];
+    for (let round = 0; round < SURGE_ROUNDS; round++) {
+      for (let caller = 0; caller < CALLERS; caller++) {
+        const important = caller < IMPORTANT_CALLERS;
+        surge.push(
+          world.call({
+            root: `round-${round}-caller-${caller}`,
+            call: important ? deployment.critical : deployment.low,
+            via: `${deployment.chain[0]}-${caller % 2}`,
+            caller: `caller-${caller}`,
+          }),
+        );
+      }
+      await world.run(SURGE_STEP_MS);
+    }
+    await world.run(PAUSE_MS);
+    const answers = await Promise.all(surge);
+    [deployment.critical, deployment.low].forEach((name) => {
+      const counts = new Map<number, number>();
+      answers
+        .filter(({ call }) => call === name)
+        .forEach(({ code }) => counts.set(code, (counts.get(code) ?? 0) + 1));
+      const ends = [...counts].sort(([first], [second]) => first - second);
+      const text = ends.map(([code, count]) => `${count} with ${code}`).join(', ');
+      world.log(`${name}: ${text}`);
+    });
+  },
+
   'a silent connection is noticed and is not a dead peer': async (world, deployment) => {
     addHosts(world, deployment);
     const via = `${deployment.chain[0]}-0`;
--- a/playground/src/invariants.ts
+++ b/playground/src/invariants.ts
@@ -1,4 +1,5 @@
-import { isNotRun } from '@shallotcroft/core';
+import { ResultCode, importances, isNotRun } from '@shallotcroft/core';
+import type { Importance } from '@shallotcroft/core';
 
 /** One execution at a target. */
 export interface Execution {
@@ -16,9 +17,11 @@
 export interface CallerAnswer {
   root: string;
   call: string;
+  importance: Importance;
   code: number;
   status: number;
   body: string;
+  calledAt: number;
   /** When the caller had its answer or went away. */
   at: number;
   /** When the caller's patience ends. */
@@ -100,6 +103,24 @@
   );
 }
 
+const shedCodes = new Set<number>([ResultCode.notRunShed, ResultCode.notRunQueueTimeout]);
+
+/** No call is shed while a less important one, which came no sooner, is let in. */
+function checkShedOrder({ answers }: SessionRecord): string[] {
+  const shed = answers.filter(({ code }) => shedCodes.has(code));
+  const letIn = answers.filter(({ code }) => code === ResultCode.ok);
+  return shed
+    .filter((one) =>
+      letIn.some(
+        (other) =>
+          importances.indexOf(other.importance) > importances.indexOf(one.importance) &&
+          other.calledAt >= one.calledAt &&
+          other.calledAt < one.at,
+      ),
+    )
+    .map(({ root, importance }) => `${root} was shed before what matters less than ${importance}`);
+}
+
 /** What must hold in every session; a line for each violation. */
 export function findViolations(record: SessionRecord): string[] {
   return [
@@ -109,5 +130,6 @@
     ...checkWholeAnswers(record),
     ...checkUselessWork(record),
     ...checkOutliving(record),
+    ...checkShedOrder(record),
   ];
 }
--- a/playground/src/sessionWorld.ts
+++ b/playground/src/sessionWorld.ts
@@ -127,6 +127,18 @@
     };
   }
 
+  private logsCalls = true;
+
+  /** Leaves single calls out of the transcript from now on. */
+  omitCalls(): void {
+    this.logsCalls = false;
+  }
+
+  /** Writes a line about one call. */
+  readonly logCall = (line: string): void => {
+    if (this.logsCalls) this.log(line);
+  };
+
   /** Writes a line of the transcript. */
   readonly log = (line: string): void => {
     const time = Math.floor(this.clock.now()).toString().padStart(6);
@@ -185,11 +197,12 @@
     if (!policy) throw new Error(`no call ${call.call}`);
     const { clock } = this;
     const patienceMs = Math.min(call.patienceMs ?? policy.deadlineMs, policy.deadlineMs);
-    const deadlineAt = clock.now() + patienceMs;
+    const calledAt = clock.now();
+    const deadlineAt = calledAt + patienceMs;
     const gone = new AbortController();
     const leaving = call.leavesAfterMs;
     if (leaving !== undefined) clock.startTimer(leaving, () => gone.abort());
-    this.log(`${call.root} calls ${call.call} at ${call.via}`);
+    this.logCall(`${call.root} calls ${call.call} at ${call.via}`);
     const sent = await this.network
       .transportOf('caller')
       .send(
@@ -202,15 +215,17 @@
     const seen: CallerAnswer = {
       root: call.root,
       call: call.call,
+      importance: policy.importance,
       code: codeOfAnswer(answer),
       status: answer.status,
       body: answer.body.toString(),
+      calledAt,
       at: clock.now(),
       deadlineAt,
       maxAttempts: (1 + policy.attemptTokens) * treeSize(this.configuration, call.call),
     };
     this.record.answers.push(seen);
-    this.log(`${call.root} gets ${seen.code} (${seen.status}) ${seen.body}`);
+    this.logCall(`${call.root} gets ${seen.code} (${seen.status}) ${seen.body}`);
     return seen;
   }
 
@@ -226,6 +241,7 @@
   /** Waits until all is quiet, adds counts to the transcript, and tells what does not hold. */
   async finish(): Promise<string[]> {
     await this.run(10_000);
+    if (!this.logsCalls) return findViolations(this.record);
     this.record.answers.forEach(({ root }) => {
       const attempts = this.record.attempts.get(root) ?? 0;
       const executions = this.record.executions.filter((one) => one.root === root).length;
@@ -330,7 +346,7 @@
       childrenOf: (call) => this.configuration.calls[call]?.children ?? [],
       behaviour: host.behaviour,
       executions: this.record.executions,
-      log: this.log,
+      log: this.logCall,
     });
   }
 
