--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -16,3 +16,4 @@
 export { WorkerQueue } from './workerQueue.js';
 export { MemoryNetwork } from './memoryNetwork.js';
 export type { CarriedMessage, MemoryPeer, Reach } from './memoryNetwork.js';
+export { createMember, createStaticDirectory } from './staticDirectory.js';
--- a/playground/src/oneShotFleet.ts
+++ b/playground/src/oneShotFleet.ts
@@ -28,6 +28,7 @@
 import { PausableClock } from './pausableClock.js';
 import { PausableStore } from './pausableStore.js';
 import { PeerNetwork } from './peerNetwork.js';
+import { createMember, createStaticDirectory } from './staticDirectory.js';
 
 const SERVICE = 'payments';
 const FIRST_PORT = 7001;
@@ -99,18 +100,7 @@
     const earlier = this.daemons.get(name);
     const peerPort = earlier?.member.peerPort ?? FIRST_PORT + this.daemons.size;
     const run = Number(earlier?.member.incarnation.split('#')[1] ?? 0) + 1;
-    const member: Member = {
-      incarnation: `${name}#${run}`,
-      version: 1,
-      host: name,
-      dataCentre,
-      service: SERVICE,
-      state: 'serving',
-      address: '127.0.0.1',
-      callPort: peerPort,
-      peerPort,
-      homes: [],
-    };
+    const member = createMember(`${name}#${run}`, name, dataCentre, SERVICE, peerPort);
     const clock = new PausableClock(this.clock);
     const store = new MemoryStore(this.clock, this.database);
     const oneShot = this.createOneShot(member, clock, store, shards);
@@ -255,15 +245,10 @@
 
   private directory(): Directory {
     const members = (): Member[] => [...this.daemons.values()].map(({ member }) => member);
-    return {
-      targetsOf: () => members().filter(({ state }) => state === 'serving'),
-      members,
-      memberOf: (incarnation) => members().find((member) => member.incarnation === incarnation),
-      onChange: (listener) => {
-        this.listeners.add(listener);
-        return () => this.listeners.delete(listener);
-      },
-    };
+    return createStaticDirectory(members, (listener) => {
+      this.listeners.add(listener);
+      return () => this.listeners.delete(listener);
+    });
   }
 
   private changed(): void {
--- a/playground/src/oneShotSystem.ts
+++ b/playground/src/oneShotSystem.ts
@@ -13,7 +13,6 @@
 } from '@shallotcroft/core';
 import type {
   CallOutcome,
-  Directory,
   Execute,
   Failure,
   Member,
@@ -30,6 +29,7 @@
 import { ExplorerStore } from './explorerStore.js';
 import type { StoreRequest } from './explorerStore.js';
 import { fingerprintOf } from './fingerprint.js';
+import { createMember, createStaticDirectory } from './staticDirectory.js';
 
 const SERVICE = 's';
 const RECORD_KEY = `shallotcroft/shards/${SERVICE}/0`;
@@ -81,21 +81,6 @@
   go(): void;
 }
 
-function memberOf(name: string, index: number): Member {
-  return {
-    incarnation: name,
-    version: 1,
-    host: name,
-    dataCentre: `dc${index}`,
-    service: SERVICE,
-    state: 'serving',
-    address: '127.0.0.1',
-    callPort: index,
-    peerPort: index,
-    homes: [],
-  };
-}
-
 /** Homes, deputies and the store, over the real code, with every order of events open. */
 export class OneShotSystem implements ExplorableSystem {
   private readonly clock = new ExplorerClock(EPOCH_MS);
@@ -127,7 +112,9 @@
     this.attemptsLeft = model.attempts;
     this.handoverLeft = model.handover ?? false;
     this.database = new ExplorerDatabase(model.storeCompares);
-    const members = model.daemons.map(memberOf);
+    const members = model.daemons.map((name, index) =>
+      createMember(name, name, `dc${index}`, SERVICE, index),
+    );
     this.database.swap(RECORD_KEY, 0, JSON.stringify(OneShotSystem.firstRecord(members)));
     this.daemons = members.map((member) => this.createDaemon(member, members));
     this.daemons.forEach(({ keeper }) => keeper.start());
@@ -181,12 +168,6 @@
   private createDaemon(member: Member, members: Member[]): Daemon {
     const methods = new Map<string, PeerMethod>();
     const { model, clock } = this;
-    const directory: Directory = {
-      targetsOf: () => members,
-      members: () => members,
-      memberOf: (incarnation) => members.find((other) => other.incarnation === incarnation),
-      onChange: () => () => undefined,
-    };
     const keeper = new ShardKeeper({
       self: member,
       service: SERVICE,
@@ -197,7 +178,7 @@
         close: () => Promise.resolve(),
       },
       methods: { register: (method, handler) => methods.set(method, handler) },
-      directory,
+      directory: createStaticDirectory(() => members),
       clock,
       random: createSeededRandom(1),
       logger: silentLogger,
--- a/scripts/src/oneShotWays.ts
+++ b/scripts/src/oneShotWays.ts
@@ -9,8 +9,13 @@
   systemClock,
   systemRandom,
 } from '@shallotcroft/core';
-import type { CallOutcome, Directory, Member, OneShot } from '@shallotcroft/core';
-import { PausableClock, PeerNetwork } from '@shallotcroft/playground';
+import type { CallOutcome, Member, OneShot } from '@shallotcroft/core';
+import {
+  PausableClock,
+  PeerNetwork,
+  createMember,
+  createStaticDirectory,
+} from '@shallotcroft/playground';
 import { Err, Ok } from 'ts-results-es';
 
 const STORE_LATENCY_MS = 3;
@@ -81,18 +86,9 @@
 export class HomesWay extends OneShotWay {
   readonly name = 'homes';
 
-  private readonly members: Member[] = ['a', 'b'].map((host, index) => ({
-    incarnation: host,
-    version: 1,
-    host,
-    dataCentre: host,
-    service: 'payments',
-    state: 'serving',
-    address: '127.0.0.1',
-    callPort: index,
-    peerPort: index,
-    homes: [],
-  }));
+  private readonly members = ['a', 'b'].map((host, index) =>
+    createMember(host, host, host, 'payments', index),
+  );
 
   private readonly sessions = [this.store, this.store.session()];
 
@@ -128,19 +124,13 @@
   }
 
   private createPart(member: Member, index: number, network: PeerNetwork): OneShot {
-    const directory: Directory = {
-      targetsOf: () => this.members,
-      members: () => this.members,
-      memberOf: (incarnation) => this.members.find((other) => other.incarnation === incarnation),
-      onChange: () => () => undefined,
-    };
     return createOneShot({
       self: member,
       service: 'payments',
       shards: 1,
       store: this.sessions[index] as MemoryStore,
       ...network.connect(index, new PausableClock(systemClock)),
-      directory,
+      directory: createStaticDirectory(() => this.members),
       clock: systemClock,
       random: systemRandom,
       logger: silentLogger,
