feat(core): AIMD is the adaptive limit

Cause: through real daemons on a busy machine (load 20 on 10 cores) Vegas cut the entry service's limit to half of its slots: pauses of the daemon's own event loop looked like a queue, and the deepest service idled. Ruled out: gradient, which is hit less by the same noise. The work is 40 ms a hop now, so the workers are the bottleneck and not the processors.

--- a/packages/core/src/targetAdmission.ts
+++ b/packages/core/src/targetAdmission.ts
@@ -9,6 +9,7 @@
 } from './admission.js';
 import type { LimitBounds } from './adaptiveLimit.js';
 import { profileOf } from './admissionProfile.js';
+import { AimdLimit } from './aimdLimit.js';
 import type { Clock } from './clock.js';
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import { ExpectedService } from './expectedService.js';
@@ -19,7 +20,7 @@
 import type { ResultNumber } from './resultCode.js';
 import { ShedLevel, placeOf } from './shedLevel.js';
 import { UnlimitedLimit } from './unlimitedLimit.js';
-import { VegasLimit } from './vegasLimit.js';
+
 import { WaitingRoom } from './waitingRoom.js';
 import type { Waiter } from './waitingRoom.js';
 
@@ -148,7 +149,7 @@
       minimum: MIN_LIMIT,
       maximum: Math.max(MIN_LIMIT, slots * MAX_SLOTS_MULTIPLE),
     };
-    return this.parts.adaptiveLimit?.(bounds) ?? new VegasLimit(bounds);
+    return this.parts.adaptiveLimit?.(bounds) ?? new AimdLimit(bounds);
   }
 
   private refuseAtOnce(request: AdmissionRequest, place: number): Err<Failure> | undefined {
--- a/scripts/src/overloadChain.ts
+++ b/scripts/src/overloadChain.ts
@@ -12,7 +12,7 @@
 /** Shape of the chain that is measured. */
 export const chainShape = {
   targetsPerService: 2,
-  workMs: 20,
+  workMs: 40,
   /** Slots of each target, from the first service to the deepest, which is the bottleneck. */
   slots: [18, 12, 4],
 } as const;
--- a/scripts/src/overloadLoad.ts
+++ b/scripts/src/overloadLoad.ts
@@ -2,7 +2,7 @@
 import type { Importance, RandomSource } from '@shallotcroft/core';
 import type { Chain } from './overloadChain.js';
 
-const PATIENCE_MS = 1000;
+const PATIENCE_MS = 2000;
 /** Attempts of one caller for one request, made one after the other. */
 const CALLER_ATTEMPTS = 4;
 const CALLER_RETRY_MS = 20;
--- a/scripts/src/uncontrolledChain.ts
+++ b/scripts/src/uncontrolledChain.ts
@@ -5,7 +5,7 @@
 import { StandInTarget, mergeExecutions } from './standInTarget.js';
 
 const HOP_ATTEMPTS = 3;
-const HOP_TIMEOUT_MS = 1000;
+const HOP_TIMEOUT_MS = 2000;
 
 interface ConventionalNode {
   target: StandInTarget;
