feat(core): bounded silence from a daemon to a target that sends interim answers

Cause: between a daemon and its target a silent connection was noticed only at the deadline of the call, as targets send no interim answers.

A target that does says so when it announces itself (`interimAnswers`); the guard then sends with the bound of daemons, 1 s. Others keep the deadline. Ruled out: taking it from the first interim answer seen (one that is sent by chance would make every slow call a lost one); a bound from usual latency.

With the bound of the call left out the new spec stalls.

--- a/packages/core/src/__tests__/callPath.spec.ts
+++ b/packages/core/src/__tests__/callPath.spec.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { codeOfAnswer } from '../callAnswer.js';
 import { CallTransport } from '../call.js';
-import type { CallAnswer, CallRequest, Endpoint } from '../call.js';
+import type { CallAnswer, CallRequest, Endpoint, SendBounds } from '../call.js';
 import { CallHeader } from '../callHeaders.js';
 import { createCallOrigins } from '../callOrigin.js';
 import type { CallPolicy, Configuration } from '../configuration.js';
@@ -14,6 +14,7 @@
 import { createGateway } from '../gateway.js';
 import { createGuard } from '../guard.js';
 import { createHistograms } from '../histograms.js';
+import { MAX_SILENCE_MS } from '../interimAnswers.js';
 import { silentLogger } from '../logger.js';
 import { ManualClock } from '../manualClock.js';
 import type { Member } from '../member.js';
@@ -49,7 +50,7 @@
   calls: { [policy.name]: policy },
 };
 
-type Answering = (request: CallRequest) => Promise<Result<CallAnswer, Failure>>;
+type Answering = (request: CallRequest, bounds: SendBounds) => Promise<Result<CallAnswer, Failure>>;
 
 /** Gives the answers of a test instead of a network's. */
 class AnsweringTransport extends CallTransport {
@@ -57,8 +58,8 @@
     super();
   }
 
-  send(_to: Endpoint, _path: string, request: CallRequest) {
-    return this.answering(request);
+  send(_to: Endpoint, _path: string, request: CallRequest, bounds: SendBounds) {
+    return this.answering(request, bounds);
   }
 
   // eslint-disable-next-line class-methods-use-this
@@ -67,11 +68,11 @@
   }
 }
 
-function createTestGuard(answering: Answering) {
+function createTestGuard(answering: Answering, interimAnswers = false) {
   const clock = new ManualClock();
   const runningCalls = createRunningCalls();
   const registry = createTargetRegistry({ clock });
-  registry.announce({ service: 'consents', address: '127.0.0.1', port: 1 });
+  registry.announce({ service: 'consents', address: '127.0.0.1', port: 1, interimAnswers });
   const guard = createGuard({
     clock,
     transport: new AnsweringTransport(answering),
@@ -137,6 +138,18 @@
   assert.equal(answer.headers[CallHeader.tokensLeft], '0');
 });
 
+test('silence of a target is bounded only where it has said that it sends interim answers', async () => {
+  for (const interimAnswers of [true, false]) {
+    const seen: (number | undefined)[] = [];
+    const { handle } = createTestGuard(async (_request, { silenceMs }) => {
+      seen.push(silenceMs);
+      return Ok(answerOf(200));
+    }, interimAnswers);
+    await handle();
+    assert.deepEqual(seen, [interimAnswers ? MAX_SILENCE_MS : undefined]);
+  }
+});
+
 function createTestGateway(answering: Answering) {
   const clock = new ManualClock();
   const member: Member = {
--- a/packages/core/src/__tests__/httpCallTransport.spec.ts
+++ b/packages/core/src/__tests__/httpCallTransport.spec.ts
@@ -261,6 +261,18 @@
   await bench.close();
 });
 
+test('one call can have a bound on silence where others have none', async () => {
+  const bench = await Bench.open(() => {});
+  const bounded = bench.send('one', { silenceMs: SILENCE_MS });
+  const unbounded = bench.send('two');
+  await bench.server.seen(2);
+  await bench.clock.advance(SILENCE_MS + 100);
+  assert.equal(await codeOf(bounded), ResultCode.unknownConnectionLost);
+  await bench.clock.advance(TIMEOUT_MS);
+  assert.equal(await codeOf(unbounded), ResultCode.unknownTimeout);
+  await bench.close();
+});
+
 test('interim answers keep a slow call from being taken for a silent one', async () => {
   const held: RawRequest[] = [];
   const bench = await Bench.open(
--- a/packages/core/src/call.ts
+++ b/packages/core/src/call.ts
@@ -36,6 +36,8 @@
   maxAnswerBytes: number;
   /** Aborted when the answer is no longer wanted. */
   signal: AbortSignal;
+  /** Longest silence, in milliseconds, of an end that sends interim answers. */
+  silenceMs?: number | undefined;
 }
 
 /**
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -16,6 +16,7 @@
 import type { Failure } from './failure.js';
 import type { Histograms } from './histograms.js';
 import type { Logger } from './logger.js';
+import { MAX_SILENCE_MS } from './interimAnswers.js';
 import type { OneShot } from './oneShot.js';
 import { ResultCode } from './resultCode.js';
 import type { ExecutionBounds } from './shardHome.js';
@@ -131,7 +132,12 @@
         headers,
         body: request.body,
       },
-      { timeoutMs: remainingMs, maxAnswerBytes: policy.maxAnswerBytes, signal: call.signal },
+      {
+        timeoutMs: remainingMs,
+        maxAnswerBytes: policy.maxAnswerBytes,
+        signal: call.signal,
+        silenceMs: target.interimAnswers ? MAX_SILENCE_MS : undefined,
+      },
     );
     return sent.isErr() ? sent : checkTargetAnswer(sent.value);
   }
--- a/packages/core/src/httpExchange.ts
+++ b/packages/core/src/httpExchange.ts
@@ -40,6 +40,8 @@
 
   private readonly deadlineAt: number;
 
+  private readonly silenceMs: number | undefined;
+
   private heardAt = 0;
 
   private suspected = false;
@@ -74,7 +76,8 @@
   ) {
     const { clock } = settings;
     this.deadlineAt = clock.now() + bounds.timeoutMs;
-    const firstCheckMs = Math.min(bounds.timeoutMs, settings.silenceMs ?? Infinity);
+    this.silenceMs = bounds.silenceMs ?? settings.silenceMs;
+    const firstCheckMs = Math.min(bounds.timeoutMs, this.silenceMs ?? Infinity);
     this.timer = clock.startTimer(firstCheckMs, () => this.onTimer());
     bounds.signal.addEventListener('abort', this.cancel, { once: true });
   }
@@ -190,7 +193,8 @@
   }
 
   private onTimer(): void {
-    const { clock, silenceMs } = this.settings;
+    const { silenceMs } = this;
+    const { clock } = this.settings;
     const now = clock.now();
     if (now >= this.deadlineAt) {
       this.failTimeout();
--- a/packages/core/src/targetRegistry.ts
+++ b/packages/core/src/targetRegistry.ts
@@ -20,6 +20,8 @@
   healthUrl: z.string().optional(),
   loadUrl: z.string().optional(),
   state: z.enum(['serving', 'draining']).default('serving'),
+  /** Sends `102 Processing` at least every 300 ms while it works on a call. */
+  interimAnswers: z.boolean().default(false),
 });
 
 /** What a target says of itself. */
--- a/playground/src/__tests__/processes.spec.ts
+++ b/playground/src/__tests__/processes.spec.ts
@@ -145,6 +145,7 @@
     targetsPerService: 2,
     workMs: 2,
     logLevel: 'error',
+    interimAnswers: true,
     logsExecutions: true,
   });
   const peers = new RpcPeerCaller();
--- a/playground/src/deployment.ts
+++ b/playground/src/deployment.ts
@@ -25,6 +25,8 @@
   /** Whether calls beyond a target's slots queue at the target. */
   queueing?: boolean;
   logLevel: LogLevel;
+  /** Targets send interim answers. */
+  interimAnswers?: boolean;
   /** Keeps a log of all executions, which costs targets time. */
   logsExecutions?: boolean;
 }
@@ -143,6 +145,7 @@
         slots: plan.configuration.services[service]?.slots ?? 1,
         queueing: plan.queueing ?? false,
         calls: targetCalls(plan, service),
+        interimAnswers: plan.interimAnswers ?? false,
         ...(plan.logsExecutions ? { executionLog } : {}),
       }),
     ]);
--- a/playground/src/target.ts
+++ b/playground/src/target.ts
@@ -1,6 +1,12 @@
 import { appendFileSync } from 'node:fs';
 import { request } from 'undici';
-import { CallHeader, closeHttp, listenHttp, systemClock } from '@shallotcroft/core';
+import {
+  CallHeader,
+  closeHttp,
+  listenHttp,
+  startInterimAnswers,
+  systemClock,
+} from '@shallotcroft/core';
 import type { CallHeaders, Endpoint, HttpAnswer, HttpMessage } from '@shallotcroft/core';
 import { WorkerQueue } from './workerQueue.js';
 
@@ -28,6 +34,8 @@
   queueing?: boolean;
   /** By name within the service. */
   calls: Record<string, TargetCall>;
+  /** Sends interim answers, so that its daemon notices silence before the deadline. */
+  interimAnswers?: boolean;
   /** File to which each execution is written as it begins, one line of JSON each. */
   executionLog?: string;
 }
@@ -143,6 +151,9 @@
 
   const listening = await listenHttp(settings.address, settings.port, MAX_BODY_BYTES, answer);
   listening.server.keepAliveTimeout = 60_000;
+  const interim = settings.interimAnswers
+    ? startInterimAnswers(listening.server, systemClock)
+    : undefined;
 
   async function announce(): Promise<number> {
     const announced = await request(`${daemonUrl}/announce`, {
@@ -152,6 +163,7 @@
         address: settings.address,
         port: listening.port,
         slots: settings.slots,
+        interimAnswers: interim !== undefined,
       }),
     });
     const { renewAfterMs } = (await announced.body.json()) as { renewAfterMs: number };
@@ -172,6 +184,7 @@
     stop: async () => {
       stopping.abort(new Error('the target stops'));
       await announcing;
+      interim?.stop();
       await closeHttp(listening.server);
     },
   };
