--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -16,6 +16,8 @@
 import { runInit } from './initCommand.js';
 import type { InitFlags } from './initCommand.js';
 import { printFailure } from './output.js';
+import { runReassign } from './reassignCommand.js';
+import type { ReassignFlags } from './reassignCommand.js';
 import { runStatus } from './statusCommand.js';
 import type { StatusFlags } from './statusCommand.js';
 
@@ -111,6 +113,17 @@
     .option(...jsonOption)
     .example('  shallotcroft drain host-17 --daemon 10.0.0.7:7401')
     .action((host: string, flags: CommandFlags) => runDrain(context, host, flags));
+  program
+    .command('reassign <service> <shard>', 'Give away a shard whose home and deputy have ended')
+    .option('--to <host>', 'Host of a serving target of the service')
+    .option('--ended <incarnations>', 'Home and deputy, which you know to have ended')
+    .option(...storeOption)
+    .option(...daemonOption)
+    .option(...jsonOption)
+    .example('  shallotcroft reassign payments 7 --to host-3 --ended 0190-a,0190-b')
+    .action((service: string, shard: string, flags: ReassignFlags) =>
+      runReassign(context, service, shard, flags),
+    );
 }
 
 /** Runs one command line, without the names of program and script; returns the exit code. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -41,6 +41,8 @@
   logger: Logger;
   /** Absent when the settings name no store. */
   store?: Store;
+  /** Called when another incarnation has taken this daemon's place; the process should end. */
+  onDisplaced?: () => void;
 }
 
 /** A daemon that runs. */
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -63,6 +63,8 @@
   methods: PeerMethods;
   /** Absent when the settings name no store. */
   store?: Store;
+  /** Called when another incarnation has taken this daemon's place. */
+  onDisplaced?: () => void;
 }
 
 /** The parts of a daemon, without listeners. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -65,6 +65,7 @@
     clock: systemClock,
     random: systemRandom,
     ...(store ? { store } : {}),
+    onDisplaced: () => fail(EXIT_FAILED, 'another daemon has this address; start this one again'),
   });
   process.stdout.write(`${JSON.stringify({ listening: daemon.settings })}\n`);
   stopOnSignals(daemon);
