fix(daemon): a target that no longer announces itself is no longer announced

Cause: with the announcement lapsed the daemon found no service for its target, returned early, and went on saying 'serving'. Ruled out: the guard, which refused such calls as not run all along.

--- a/packages/core/src/callAnswer.ts
+++ b/packages/core/src/callAnswer.ts
@@ -1,34 +1,19 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { CallAnswer, CallHeaders } from './call.js';
 import { CallHeader } from './callHeaders.js';
+import { headersWithout, isConnectionHeader } from './endToEndHeaders.js';
 import type { Failure } from './failure.js';
 import { ResultCode, httpStatusOf, resultNameOf } from './resultCode.js';
 import type { ResultNumber } from './resultCode.js';
 
 const ownPrefix = 'x-shallotcroft-';
-const connectionHeaders = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  CallHeader.key,
-]);
 
 /** Headers that pass through unchanged: all but those of the connection and of this protocol. */
-export function passedHeaders(headers: Record<string, string | string[] | undefined>): CallHeaders {
-  const passed: CallHeaders = {};
-  Object.keys(headers).forEach((name) => {
-    if (name.startsWith(ownPrefix) || connectionHeaders.has(name)) return;
-    const value = headers[name];
-    if (value !== undefined) passed[name] = typeof value === 'string' ? value : value.join(', ');
-  });
-  return passed;
+export function passedHeaders(headers: IncomingHttpHeaders): CallHeaders {
+  return headersWithout(
+    headers,
+    (name) => name.startsWith(ownPrefix) || name === CallHeader.key || isConnectionHeader(name),
+  );
 }
 
 /** The answer that tells a failure: its number in a header, its message as JSON. */
--- a/packages/core/src/endToEndHeaders.ts
+++ b/packages/core/src/endToEndHeaders.ts
@@ -8,6 +8,8 @@
   'expect',
   'host',
   'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
   'proxy-connection',
   'te',
   'trailer',
@@ -15,14 +17,27 @@
   'upgrade',
 ]);
 
-/** Headers that go on to the next hop, without those that belong to one connection. */
-export function endToEndHeaders(headers: IncomingHttpHeaders): CallHeaders {
+/** True for headers that must not go on to another connection. */
+export function isConnectionHeader(name: string): boolean {
+  return connectionHeaders.has(name);
+}
+
+/** A copy without the headers that are left out, several values of one name joined. */
+export function headersWithout(
+  headers: IncomingHttpHeaders,
+  isLeftOut: (name: string) => boolean,
+): CallHeaders {
   const kept: CallHeaders = {};
   for (const name in headers) {
-    if (connectionHeaders.has(name)) continue;
+    if (isLeftOut(name)) continue;
     const value = headers[name];
     if (typeof value === 'string') kept[name] = value;
     else if (value) kept[name] = value.join(', ');
   }
   return kept;
 }
+
+/** Headers that go on to the next hop, without those that belong to one connection. */
+export function endToEndHeaders(headers: IncomingHttpHeaders): CallHeaders {
+  return headersWithout(headers, isConnectionHeader);
+}
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -43,6 +43,7 @@
   Settings,
   Store,
   TargetRegistry,
+  TargetState,
 } from '@shallotcroft/core';
 import { createOneShotSlot } from './oneShotSlot.js';
 import type { OneShotSlot } from './oneShotSlot.js';
@@ -126,14 +127,21 @@
 function followTarget(parts: Omit<DaemonParts, 'guard' | 'gateway' | 'status'>): void {
   const { registry, configuration, admission, membership, oneShot } = parts;
 
+  /** A daemon outlives its target: it waits for another one, unless it is leaving itself. */
+  function announcedState(): TargetState {
+    const state = registry.state();
+    if (state !== 'gone') return state;
+    return membership.self().state === 'draining' ? 'draining' : 'starting';
+  }
+
   function refresh(): void {
     const current = configuration.current();
-    const service = registry.current()?.service ?? '';
+    const service = registry.current()?.service ?? membership.self().service;
     const policy = current?.services[service];
     if (!current || !policy) return;
     const { limit, slots, shards } = policy;
     admission.reconfigure({ limit, slots, objective: current.objective });
-    membership.update({ service, state: registry.state() }).catch(() => undefined);
+    membership.update({ service, state: announcedState() }).catch(() => undefined);
     oneShot.begin({ self: membership.self(), service, shards });
   }
 
--- a/playground/src/__tests__/membershipSession.spec.ts
+++ b/playground/src/__tests__/membershipSession.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Fleet, kill } from '../fleet.js';
 import type { FleetDaemon } from '../fleet.js';
-import { goldenTranscript } from '../goldenFile.js';
+import { checkGolden } from '../goldenFile.js';
 
 /** Time that lets the news of any one act arrive everywhere, in milliseconds. */
 const QUIET_MS = 30_000;
@@ -100,7 +100,7 @@
 
 test('a session of membership and of the configuration in force is as committed', async () => {
   const session = await runSession();
-  assert.deepEqual(session.lines, goldenTranscript('membership', session.lines));
+  checkGolden('membership', session.lines);
 
   // The transcript may be rewritten; what follows may not.
   session.revisions.forEach((revisions, name) => {
--- a/playground/src/__tests__/oneShotSession.spec.ts
+++ b/playground/src/__tests__/oneShotSession.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { CallOutcome } from '@shallotcroft/core';
-import { goldenTranscript } from '../goldenFile.js';
+import { checkGolden } from '../goldenFile.js';
 import { OneShotFleet } from '../oneShotFleet.js';
 
 /** A session of calls, faults and operator acts; everything that is seen becomes a line. */
@@ -94,5 +94,5 @@
   await session.call(fifth);
   assert.deepEqual(fleet.violations(), []);
   assert.ok(fleet.executions.length >= 5);
-  assert.deepEqual(session.lines, goldenTranscript('one-shot-payments', session.lines));
+  checkGolden('one-shot-payments', session.lines);
 });
--- a/playground/src/__tests__/operatorSession.spec.ts
+++ b/playground/src/__tests__/operatorSession.spec.ts
@@ -10,7 +10,7 @@
 } from '@shallotcroft/core';
 import type { HistogramRow, Member } from '@shallotcroft/core';
 import { exampleNames, readExample } from '@shallotcroft/cli';
-import { goldenTranscript } from '../goldenFile.js';
+import { checkGolden } from '../goldenFile.js';
 import { OperatorTerminal } from '../operatorTerminal.js';
 
 function start() {
@@ -139,7 +139,7 @@
   const accepted = (await readAccepted(session)).unwrap().configuration;
   assert.equal(accepted?.revision, 3);
   assert.deepEqual(acceptedRevisions(ann.transcript), [1, 2, 3]);
-  assert.deepEqual(ann.transcript, goldenTranscript('operators', ann.transcript));
+  checkGolden('operators', ann.transcript);
 });
 
 test('a session with daemons: status, histograms, drain, and an answer that never comes', async () => {
@@ -151,7 +151,7 @@
   assert.equal(await ann.run('drain catalogue-2'), 0);
   assert.equal(await ann.run('drain catalogue-9'), 3);
   assert.equal(await ann.run('status --daemon 10.0.0.9:7401'), 5);
-  assert.deepEqual(ann.transcript, goldenTranscript('operators-daemons', ann.transcript));
+  checkGolden('operators-daemons', ann.transcript);
 });
 
 test('the questionnaire asks again until an answer is right, and writes good answers', async () => {
@@ -163,7 +163,7 @@
   assert.equal(await ann.run('check --answers own.yaml'), 0);
   ann.note('own.yaml:');
   ann.transcript.push(...(ann.files.get('own.yaml') ?? '').trimEnd().split('\n'));
-  assert.deepEqual(ann.transcript, goldenTranscript('questionnaire', ann.transcript));
+  checkGolden('questionnaire', ann.transcript);
 });
 
 test('an unknown outcome, wrong flags and a store that is missing each have their exit code', async () => {
--- a/playground/src/__tests__/system.spec.ts
+++ b/playground/src/__tests__/system.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { checkGolden } from '../session.js';
+import { checkGolden } from '../goldenFile.js';
 import { addHosts, sessionDeployments } from '../sessionDeployments.js';
 import type { SessionDeployment } from '../sessionDeployments.js';
 import { SystemWorld } from '../systemWorld.js';
--- a/playground/src/goldenFile.ts
+++ b/playground/src/goldenFile.ts
@@ -1,16 +1,12 @@
-import { existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
-import path from 'node:path';
+import assert from 'node:assert/strict';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
-const folder = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../golden');
-
-/** The committed transcript of a session; with GOLDEN_UPDATE=1 it is rewritten first. */
-export function goldenTranscript(name: string, lines: string[]): string[] {
-  const file = path.join(folder, `${name}.txt`);
-  if (process.env.GOLDEN_UPDATE === '1') {
-    mkdirSync(folder, { recursive: true });
-    writeFileSync(file, `${lines.join('\n')}\n`);
-  }
-  if (!existsSync(file)) return [];
-  return readFileSync(file, 'utf8').trimEnd().split('\n');
+/** Compares a transcript with its golden file; `GOLDEN_UPDATE=1` writes the file first. */
+export function checkGolden(name: string, transcript: string[]): void {
+  const file = fileURLToPath(new URL(`../golden/${name}.golden`, import.meta.url));
+  const text = `${transcript.join('\n')}\n`;
+  if (process.env.GOLDEN_UPDATE === '1') writeFileSync(file, text);
+  const golden = existsSync(file) ? readFileSync(file, 'utf8') : '';
+  assert.equal(text, golden, `the session differs from ${name}.golden`);
 }
--- a/playground/src/systemWorld.ts
+++ b/playground/src/systemWorld.ts
@@ -82,6 +82,21 @@
     this.log(`${name}: keys handed over`);
   }
 
+  /** Hosts with a target that can be given work, as one daemon sees them. */
+  servingSeenBy(name: string): string[] {
+    const { membership } = this.daemon(name).parts;
+    const serving = membership.members().filter(({ state }) => state === 'serving');
+    return serving.map(({ host }) => host).sort();
+  }
+
+  /** Lets the target of a host end; its daemon goes on. */
+  loseTarget(name: string): void {
+    const host = this.host(name);
+    this.network.unlisten(host.target);
+    this.hosts.delete(name);
+    this.log(`${name}: target lost`);
+  }
+
   /** Writes the revision in force at each daemon. */
   logRevisions(): void {
     const revisions = [...this.daemons.values()].map(
