fix(core): calls wait for the news of a shard's new home; ten planned stops under load

Cause: a shard that is handed over has no home that the caller knows for some hundred milliseconds; three attempts with full jitter were over in less, and the caller was told 'outcome unknown'. Ruled out: calls cut off in flight (none). Golden: one search of 880 moves from answered to shed, since the wait before a first retry after a refusal at the caller is the first, not half of it.

--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -24,6 +24,9 @@
 /** Wait for an answer past the deadline that was sent along, in milliseconds. */
 const ANSWER_GRACE_MS = 5;
 
+/** Wait for the news of a shard's new home, times the number of the attempt, in milliseconds. */
+const HOME_CHANGE_WAIT_MS = 200;
+
 /** Makes calls on behalf of a caller: chooses targets, retries, and returns one whole answer. */
 export interface Gateway {
   /** The answer of the call, or an answer that tells its failure. Never rejects. */
@@ -114,13 +117,22 @@
     }
   }
 
+  /** Time to wait before the next attempt, in milliseconds; undefined when too little is left. */
+  function waitBeforeRetry(call: CallProgress, end: AttemptEnd): number | undefined {
+    const remainingMs = call.context.deadlineAt - clock.now();
+    const retry = Math.max(1, call.attempts);
+    if (end.code !== ResultCode.notHome) return backoffMs(retry, remainingMs, options.random);
+    // The shard is changing hands, and the news of its new home is on the way.
+    const waitMs = HOME_CHANGE_WAIT_MS * retry;
+    return waitMs < remainingMs ? waitMs : undefined;
+  }
+
   /** Pays for a retry and waits before it; false when the call must end now. */
   async function prepareRetry(call: CallProgress, end: AttemptEnd): Promise<boolean> {
-    const { policy, context, signal } = call;
+    const { policy, signal } = call;
     const sameHome = policy.execution === 'atMostOnce';
     if (!mayRetry({ code: end.code, execution: policy.execution, sameHome })) return false;
-    const remainingMs = context.deadlineAt - clock.now();
-    const waitMs = backoffMs(call.attempts, remainingMs, options.random);
+    const waitMs = waitBeforeRetry(call, end);
     if (waitMs === undefined || signal.aborted) return false;
     const allowed = loadlessCodes.has(end.code) || options.retryBudget.tryRetry(policy.service);
     if (!allowed || call.allowance.left === 0) return false;
