refactor(core): one piece of code where the call path had two

The gateway decides on an unasked home through settleNotHome, which only the fleet's tests used; the guard links its signal through joinSignals; the view of the directory hashes with hashText. Dead: rendezvous.ts beside hash.ts, and the request id that the guard set and the server sets again.

--- a/packages/core/src/directoryView.ts
+++ b/packages/core/src/directoryView.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from './configuration.js';
+import { hashText } from './hash.js';
 import type { Directory, Member } from './member.js';
 import type { PeerMethods } from './peer.js';
 
@@ -27,14 +28,7 @@
 /** A short text that differs when the members differ. */
 export function digestOfMembers(members: Member[]): string {
   const lines = members.map((member) => `${member.incarnation}:${member.version}`).sort();
-  let hash = 5381;
-  lines
-    .join(' ')
-    .split('')
-    .forEach((letter) => {
-      hash = (Math.imul(hash, 33) ^ letter.charCodeAt(0)) >>> 0;
-    });
-  return `${members.length}-${hash.toString(36)}`;
+  return `${members.length}-${hashText(lines.join(' ')).toString(36)}`;
 }
 
 /** Answers views of the directory and the configuration to embedded callers. */
--- a/packages/core/src/gateway.ts
+++ b/packages/core/src/gateway.ts
@@ -15,6 +15,7 @@
 import type { Logger } from './logger.js';
 import type { Member } from './member.js';
 import type { RandomSource } from './random.js';
+import { settleNotHome } from './oneShot.js';
 import { ResultCode, isNotRun, isOutcomeUnknown } from './resultCode.js';
 import type { ResultNumber } from './resultCode.js';
 import type { RetryBudget } from './retryBudget.js';
@@ -147,10 +148,8 @@
     const unsettled = end.code === ResultCode.notHome || (!end.answered && isNotRun(end.code));
     if (!unsettled) return end;
     const message = `the home of the key could not be asked (${end.code}); try the same key again`;
-    const code = call.keyIsSole
-      ? ResultCode.notRunHomeUnavailable
-      : ResultCode.unknownKeyMayHaveRun;
-    return endOfFailure(createFailure(code, message));
+    const notHome = createFailure(ResultCode.notHome, message);
+    return endOfFailure(settleNotHome(notHome, call.keyIsSole));
   }
 
   /** An earlier attempt may have run, so a later refusal does not make the call "not run". */
--- a/packages/core/src/guard.ts
+++ b/packages/core/src/guard.ts
@@ -15,8 +15,9 @@
 import { createFailure } from './failure.js';
 import type { Failure } from './failure.js';
 import type { Histograms } from './histograms.js';
-import type { Logger } from './logger.js';
 import { MAX_SILENCE_MS } from './interimAnswers.js';
+import { joinSignals } from './joinedSignal.js';
+import type { Logger } from './logger.js';
 import type { OneShot } from './oneShot.js';
 import { ResultCode } from './resultCode.js';
 import type { ExecutionBounds } from './shardHome.js';
@@ -153,10 +154,7 @@
     const { policy, context, allowance, signal } = call;
     const id = nextCallId();
     const below = new CallsBelow(clock);
-    const wanted = new AbortController();
-    const cancel = (): void => wanted.abort(signal.reason);
-    if (signal.aborted) cancel();
-    signal.addEventListener('abort', cancel, { once: true });
+    const wanted = joinSignals(signal);
     runningCalls.begin({
       id,
       policy,
@@ -176,7 +174,7 @@
     runningCalls.end(id);
     // Calls below that are still under way serve nobody any more.
     if (result.isErr() || below.anyUnderWay) wanted.abort(new Error('the call is over'));
-    signal.removeEventListener('abort', cancel);
+    wanted.release();
     permit.release(outcomeOf(result, signal, below), below.elapsedMs());
     return result;
   }
@@ -235,7 +233,6 @@
     headers[CallHeader.code] = String(result.isOk() ? ResultCode.ok : result.error.code);
     headers[CallHeader.tokensLeft] = String(tokensLeft);
     headers[CallHeader.shedLevel] = String(shedLevelFor(request));
-    headers[CallHeader.request] = request.headers[CallHeader.request] ?? '';
     return { ...answer, headers };
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -131,7 +131,6 @@
 export type { Carried } from './membershipContext.js';
 export { rendezvous, rendezvousScore } from './hash.js';
 export { deriveKey, mintKey, readKey, shardOf, timeOfKey } from './idempotencyKey.js';
-export { rankByRendezvous } from './rendezvous.js';
 export { createOneShot, settleNotHome } from './oneShot.js';
 export type { OneShot, OneShotOptions, ShardStatus } from './oneShot.js';
 export { defaultOneShotTiming } from './oneShotTiming.js';
--- a/packages/core/src/joinedSignal.ts
+++ b/packages/core/src/joinedSignal.ts
@@ -1,24 +1,23 @@
-/** A signal that is aborted with the first of two others. */
+/** A signal that is aborted with the first of others, or by hand. */
 export interface JoinedSignal {
   signal: AbortSignal;
+  abort(reason: Error): void;
   /** Stops listening to the others. */
   release(): void;
 }
 
-/** Joins two signals; cheaper than `AbortSignal.any`, and it leaves nothing behind once released. */
-export function joinSignals(first: AbortSignal, second: AbortSignal): JoinedSignal {
+/** Joins signals; cheaper than `AbortSignal.any`, and it leaves nothing behind once released. */
+export function joinSignals(...sources: AbortSignal[]): JoinedSignal {
   const joined = new AbortController();
-  const abortWithFirst = (): void => joined.abort(first.reason);
-  const abortWithSecond = (): void => joined.abort(second.reason);
-  if (first.aborted) abortWithFirst();
-  if (second.aborted) abortWithSecond();
-  first.addEventListener('abort', abortWithFirst, { once: true });
-  second.addEventListener('abort', abortWithSecond, { once: true });
+  const links = sources.map((source) => {
+    const abort = (): void => joined.abort(source.reason);
+    if (source.aborted) abort();
+    source.addEventListener('abort', abort, { once: true });
+    return { source, abort };
+  });
   return {
     signal: joined.signal,
-    release: () => {
-      first.removeEventListener('abort', abortWithFirst);
-      second.removeEventListener('abort', abortWithSecond);
-    },
+    abort: (reason) => joined.abort(reason),
+    release: () => links.forEach(({ source, abort }) => source.removeEventListener('abort', abort)),
   };
 }
--- a/packages/core/src/oneShot.ts
+++ b/packages/core/src/oneShot.ts
@@ -82,12 +82,8 @@
  */
 export function settleNotHome(failure: Failure, soleAttempt: boolean): Failure {
   if (failure.code !== ResultCode.notHome) return failure;
-  if (soleAttempt) {
-    const message = 'no daemon is home of the key at present; try again with the same key';
-    return createFailure(ResultCode.notRunHomeUnavailable, message);
-  }
-  const message = 'the home of the key is not known at present; try again with the same key';
-  return createFailure(ResultCode.unknownKeyMayHaveRun, message);
+  const code = soleAttempt ? ResultCode.notRunHomeUnavailable : ResultCode.unknownKeyMayHaveRun;
+  return createFailure(code, failure.message);
 }
 
 /** Makes the part of a daemon that runs non-repeatable calls at most once. */
