--- a/packages/core/src/embeddedCaller.ts
+++ b/packages/core/src/embeddedCaller.ts
@@ -1,12 +1,11 @@
 import type { CallAnswer, CallHeaders, CallTransport } from './call.js';
 import { CallHeader } from './callHeaders.js';
-import { createCallerShedding } from './callerShedding.js';
 import { createCallOrigins } from './callOrigin.js';
+import { createCallRouting } from './callRouting.js';
 import type { Clock } from './clock.js';
 import { createDirectoryClient } from './directoryClient.js';
 import type { DirectoryClient } from './directoryClient.js';
 import { createGateway } from './gateway.js';
-import { createHomeLocator } from './homeLocator.js';
 import { createHistograms } from './histograms.js';
 import type { Histograms } from './histograms.js';
 import { mintKey } from './idempotencyKey.js';
@@ -16,9 +15,6 @@
 import { RetryBudget } from './retryBudget.js';
 import { createRunningCalls } from './runningCalls.js';
 import { createSupervisor } from './supervisor.js';
-import { createTargetChooser } from './targetChooser.js';
-import { createTargetRouter } from './targetRouter.js';
-import { createTargetSubsets } from './targetSubset.js';
 
 const START_ATTEMPTS = 10;
 const START_RETRY_MS = 200;
@@ -80,20 +76,17 @@
   const supervisor = createSupervisor(options);
   const directory = createDirectoryClient(options);
   const histograms = createHistograms();
+  const routing = createCallRouting({
+    ...options,
+    caller: { host: options.name, dataCentre: options.dataCentre },
+    directory,
+    configuration: directory.configuration,
+  });
   const gateway = createGateway({
     clock,
     random,
     transport,
-    router: createTargetRouter({
-      subsets: createTargetSubsets(
-        { host: options.name, dataCentre: options.dataCentre },
-        directory,
-      ),
-      homes: createHomeLocator(directory),
-      configuration: directory.configuration,
-      chooser: createTargetChooser({ clock, dataCentre: options.dataCentre, random }),
-      shedding: createCallerShedding(clock, random),
-    }),
+    router: routing.router,
     retryBudget: new RetryBudget(clock),
     histograms,
     logger: options.logger,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -190,3 +190,5 @@
 export { RUMOUR_TRANSMISSIONS, RumourQueue } from './rumourQueue.js';
 export type { MemberNews } from './memberNews.js';
 export { ConfigurationMethod } from './configurationKeeper.js';
+export { createCallRouting } from './callRouting.js';
+export type { CallRouting, CallRoutingOptions } from './callRouting.js';
--- a/packages/daemon/src/daemonParts.ts
+++ b/packages/daemon/src/daemonParts.ts
@@ -4,19 +4,15 @@
   createAdmission,
   createBootstrapKeeper,
   createCallOrigins,
-  createCallerShedding,
+  createCallRouting,
   createConfigurationKeeper,
   createGateway,
   createGuard,
   createHistograms,
-  createHomeLocator,
   createLevelBelow,
   createMembership,
   createRunningCalls,
-  createTargetChooser,
   createTargetRegistry,
-  createTargetRouter,
-  createTargetSubsets,
   leavingAudience,
   peerAddressOf,
   readBootstrapAddresses,
@@ -160,11 +156,15 @@
   options: DaemonPartsOptions,
   parts: Omit<DaemonParts, 'guard' | 'gateway' | 'status'>,
 ): Pick<DaemonParts, 'guard' | 'gateway'> {
-  const { settings, clock, random } = options;
+  const { settings, clock } = options;
   const { membership } = parts;
   const configuration = parts.configuration.current;
-  const subsets = createTargetSubsets(settings, membership);
-  const shedding = createCallerShedding(clock, random);
+  const { subsets, shedding, router } = createCallRouting({
+    ...options,
+    caller: settings,
+    directory: membership,
+    configuration,
+  });
   const guard = createGuard({
     ...options,
     ...parts,
@@ -177,13 +177,7 @@
     ...options,
     ...parts,
     transport: options.daemonTransport,
-    router: createTargetRouter({
-      subsets,
-      homes: createHomeLocator(membership),
-      configuration,
-      chooser: createTargetChooser({ clock, dataCentre: settings.dataCentre, random }),
-      shedding,
-    }),
+    router,
     retryBudget: new RetryBudget(clock),
     originOf: createCallOrigins({ clock, configuration, runningCalls: parts.runningCalls }),
   });
