feat(core): calls keep the place of their tree; roots are refused for what is shed below

A call that a target makes carries the id of the request it is for, so the daemon knows its tree: calls keep the root's importance and place, and the levels of the routes that a route was seen to call come back with its answers.

--- a/packages/core/src/forwarding/forwardedRequest.ts
+++ b/packages/core/src/forwarding/forwardedRequest.ts
@@ -4,6 +4,8 @@
 export interface ForwardedRequest {
   /** Id that the caller gave to this attempt of its own. */
   id: string;
+  /** Id of the request for which a target made this call. */
+  parentId: string | undefined;
   method: string;
   /** Path and query, unchanged. */
   url: string;
@@ -15,6 +17,15 @@
   remainingMs: number | undefined;
 }
 
+/** What a caller tells in the headers of a request. */
+export interface CallerFields {
+  id: string;
+  /** Id of the request for which a target made this call, when it is one. */
+  parentId: string | undefined;
+  /** How long the caller waits, in milliseconds. */
+  remainingMs: number | undefined;
+}
+
 /** What a target's answer says of the request. */
 export type AnswerVerdict = 'executed' | 'notExecuted' | 'wrongInstance' | 'damaged';
 
@@ -35,10 +46,8 @@
   /** Header with the id of a request, which answers repeat; in lower case. */
   abstract readonly idHeader: string;
 
-  /** Id and time left of a caller's request; undefined when the request carries no valid id. */
-  abstract readCaller(
-    headers: CallHeaders,
-  ): { id: string; remainingMs: number | undefined } | undefined;
+  /** Who asks, and for how long; undefined when the request carries no valid id. */
+  abstract readCaller(headers: CallHeaders): CallerFields | undefined;
 
   /** Headers for the target, added to the caller's. */
   abstract headersForTarget(envelope: TargetEnvelope): CallHeaders;
--- a/packages/core/src/forwarding/hop.ts
+++ b/packages/core/src/forwarding/hop.ts
@@ -32,6 +32,11 @@
   remainingMs: number;
   callerService: string;
   importance: Importance;
+  /** Id of the request at the root of the tree. */
+  rootId: string;
+  /** True when another request's target made this call. */
+  isInner: boolean;
+  route: string;
   execution: Execution;
   service: string;
   targetId: string;
@@ -72,6 +77,9 @@
   remainingMs: z.number(),
   callerService: z.string(),
   importance: z.enum(importances),
+  rootId: z.string(),
+  isInner: z.boolean(),
+  route: z.string(),
   execution: z.enum(['repeatable', 'atMostOnce']),
   service: z.string().min(1),
   targetId: z.string(),
@@ -121,6 +129,9 @@
     remainingMs: request.remainingMs,
     callerService: request.callerService,
     importance: request.importance,
+    rootId: request.rootId,
+    isInner: request.isInner,
+    route: request.route,
     execution: request.execution,
     service: request.service,
     targetId: request.targetId,
--- a/packages/core/src/forwarding/passage.ts
+++ b/packages/core/src/forwarding/passage.ts
@@ -4,7 +4,9 @@
 import { isOutcomeUnknown } from '../resultCode.js';
 import type { ResultNumber } from '../resultCode.js';
 import type { Route } from '../routes/route.js';
+import { placeOf } from '../shedLevel.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
+import type { TreeContext } from './requestTrees.js';
 
 /** How one attempt ended. */
 export interface AttemptEnd {
@@ -24,6 +26,15 @@
 export class Passage {
   readonly importance: Importance;
 
+  /** Id of the request at the root of the tree. */
+  readonly rootId: string;
+
+  /** True when a target made this call for another request. */
+  readonly isInner: boolean;
+
+  /** Place in the order of shedding; the same at every hop of the tree. */
+  readonly place: number;
+
   readonly deadlineAt: number;
 
   /** Targets that were asked. */
@@ -44,8 +55,12 @@
     readonly service: string,
     readonly signal: AbortSignal,
     readonly arrivedAt: number,
+    tree: TreeContext | undefined,
   ) {
-    this.importance = importanceOf(route.rank);
+    this.importance = tree?.importance ?? importanceOf(route.rank);
+    this.rootId = tree?.rootId ?? request.id;
+    this.isInner = tree !== undefined;
+    this.place = placeOf(this.importance, this.rootId);
     const waitMs = Math.min(request.remainingMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = arrivedAt + waitMs;
   }
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -9,12 +9,14 @@
 import type { RandomSource } from '../random.js';
 import { ResultCode, httpStatusOf, isNotRun } from '../resultCode.js';
 import type { RetryBudget } from '../retryBudget.js';
+import type { RouteLevels } from '../placement/routeLevels.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
 import type { HopAnswer, HopRequest } from './hop.js';
 import type { HopSender } from './hopSender.js';
 import { Passage } from './passage.js';
 import type { AttemptEnd } from './passage.js';
+import type { RequestTrees } from './requestTrees.js';
 import { retryAfterMs } from './retryAfter.js';
 
 /** Daemons that may be asked for one request; refusals by a daemon cost its target nothing. */
@@ -41,6 +43,8 @@
   histograms: Histograms;
   routing: RoutingKeeper;
   placement: TargetPlacement;
+  levels: RouteLevels;
+  trees: RequestTrees;
   sender: HopSender;
   retryBudget: RetryBudget;
   /** Id of this run of the daemon. */
@@ -53,7 +57,7 @@
 
 /** Makes a gateway. */
 export function createRequestGateway(options: RequestGatewayOptions): RequestGateway {
-  const { clock, placement, sender, routing, logger } = options;
+  const { clock, placement, levels, sender, routing, logger } = options;
   let active = 0;
   let lastAttempt = 0;
 
@@ -81,6 +85,9 @@
       remainingMs,
       callerService: options.ownService(),
       importance: passage.importance,
+      rootId: passage.rootId,
+      isInner: passage.isInner,
+      route: route.name,
       execution: route.execution,
       service: passage.service,
       targetId: target.record.targetId,
@@ -89,8 +96,9 @@
     };
   }
 
-  function noteHop(target: KnownTarget, hop: HopAnswer): void {
+  function noteHop(passage: Passage, target: KnownTarget, hop: HopAnswer): void {
     placement.noteAnswer(target, hop);
+    levels.learn(passage.route.name, target.key, hop.shedLevel);
     if (hop.code === ResultCode.notRunDraining) placement.noteLeaving(target);
     if (hop.configurationVersion > routing.version()) {
       options.onPeerVersion(hop.configurationVersion, target);
@@ -127,7 +135,7 @@
     placement.end(target);
     if (sent.isOk()) {
       const hop = sent.value;
-      noteHop(target, hop);
+      noteHop(passage, target, hop);
       const answer = hop.code === ResultCode.ok ? hop.answer : undefined;
       return { code: hop.code, message: hop.message, reached: hop.reached, answer };
     }
@@ -154,20 +162,41 @@
     if (clock.now() + MIN_ATTEMPT_MS >= passage.deadlineAt) return false;
     if (end.code === ResultCode.notRunDeadline) return false;
     const repeatable = passage.route.execution === 'repeatable';
-    if (end.answer) return repeatable && end.answer.status >= 500 && takeRepeat(passage);
+    if (end.answer) {
+      // A target that fails because its calls were shed fails again.
+      const isShedding = levels.below(passage.route.name) > 0;
+      return repeatable && end.answer.status >= 500 && !isShedding && takeRepeat(passage);
+    }
     if (!isNotRun(end.code) && !repeatable) return false;
     return !end.reached || takeRepeat(passage);
   }
 
-  async function makeAttempts(passage: Passage): Promise<AttemptEnd> {
-    let last: AttemptEnd = {
-      code: ResultCode.notRunNoTarget,
-      message: `no target of ${passage.service} is known`,
+  /** Requests at the root are sent only where they would not be shed; calls below one always. */
+  function chooseTarget(passage: Passage): KnownTarget | undefined {
+    const { service, tried, route, place, isInner } = passage;
+    return placement.choose(
+      service,
+      tried,
+      (key) => !isInner && levels.refuses(route.name, key, place),
+    );
+  }
+
+  function whyNoTarget(passage: Passage): AttemptEnd {
+    const isKnown = placement.knows(passage.service);
+    return {
+      code: isKnown ? ResultCode.notRunShed : ResultCode.notRunNoTarget,
+      message: isKnown
+        ? `every target of ${passage.service} sheds ${passage.importance} requests`
+        : `no target of ${passage.service} is known`,
       reached: false,
       answer: undefined,
     };
+  }
+
+  async function makeAttempts(passage: Passage): Promise<AttemptEnd> {
+    let last = whyNoTarget(passage);
     for (;;) {
-      const target = placement.choose(passage.service, passage.tried);
+      const target = chooseTarget(passage);
       if (!target) return last;
       passage.recordHop(target.key);
       last = await attempt(passage, target);
@@ -248,7 +277,8 @@
       const message = `route ${found.name} has no service with weight`;
       return refuse(request, createFailure(ResultCode.notRunNoTarget, message));
     }
-    return pass(new Passage(request, found, service, signal, clock.now()));
+    const tree = options.trees.join(request.parentId, found.name);
+    return pass(new Passage(request, found, service, signal, clock.now(), tree));
   }
 
   return {
--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -9,9 +9,11 @@
 import type { Histograms } from '../histograms.js';
 import type { Logger } from '../logger.js';
 import { ResultCode } from '../resultCode.js';
+import type { RouteLevels } from '../placement/routeLevels.js';
 import type { AttemptRegister } from './attemptRegister.js';
 import type { HeaderDialect } from './forwardedRequest.js';
 import type { HopAnswer, HopRequest, TargetLoad } from './hop.js';
+import type { RequestTrees } from './requestTrees.js';
 
 /** Weight of the newest sample in the mean time at the target. */
 const SERVICE_MEAN_WEIGHT = 0.05;
@@ -40,6 +42,8 @@
   admission: Admission;
   attempts: AttemptRegister;
   target: LocalTarget;
+  trees: RequestTrees;
+  levels: RouteLevels;
   histograms: Histograms;
   /** Where the target listens. */
   endpoint: Endpoint;
@@ -147,9 +151,10 @@
     }
     const permit = await admission.enter({
       importance: request.importance,
-      caller: request.callerId,
+      caller: request.rootId,
       deadlineAt,
       signal,
+      levelBelow: () => (request.isInner ? 0 : options.levels.below(request.route)),
     });
     if (permit.isErr()) {
       attempts.void(request.attemptId);
@@ -168,7 +173,9 @@
       queueTimeMs: permit.value.waitedMs,
       concurrency: admission.load().inFlight,
     });
+    options.trees.begin(request.callerId, request);
     const outcome = await send(request, deadlineAt, signal);
+    options.trees.end(request.callerId);
     permit.value.release(outcomeOf(outcome.result, signal));
     return outcome;
   }
@@ -197,7 +204,7 @@
       reached,
       answer: result.isOk() ? result.value : noAnswer,
       load: load(),
-      shedLevel: admission.shedLevel(),
+      shedLevel: Math.max(admission.shedLevel(), options.levels.below(request.route)),
       configurationVersion: options.configurationVersion(),
       incarnation: options.incarnation,
       message: failure?.message ?? '',
--- a/packages/core/src/httpExchange.ts
+++ b/packages/core/src/httpExchange.ts
@@ -57,7 +57,7 @@
 
   private endsWithClose = false;
 
-  private hasConnectionFailed: () => boolean = () => false;
+  private hasConnectionFailed: (() => boolean) | undefined;
 
   private receivedBytes = 0;
 
@@ -154,7 +154,7 @@
 
   onResponseEnd(): void {
     if (this.ended) return;
-    if (this.hasConnectionFailed()) {
+    if (this.hasConnectionFailed?.()) {
       this.failTruncated('the connection was reset before the answer ended');
       return;
     }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -213,6 +213,7 @@
 export { HeaderDialect } from './forwarding/forwardedRequest.js';
 export type {
   AnswerVerdict,
+  CallerFields,
   ForwardedRequest,
   TargetEnvelope,
 } from './forwarding/forwardedRequest.js';
@@ -227,6 +228,8 @@
 export { createRequestGateway } from './forwarding/requestGateway.js';
 export type { RequestGateway } from './forwarding/requestGateway.js';
 export { retryAfterMs } from './forwarding/retryAfter.js';
+export { RequestTrees } from './forwarding/requestTrees.js';
+export { RouteLevels } from './placement/routeLevels.js';
 export { TargetPlacement } from './placement/targetPlacement.js';
 export { endToEndHeaders } from './endToEndHeaders.js';
 export { mapping, readYaml } from './yamlDocument.js';
--- /dev/null
+++ b/packages/core/src/placement/routeLevels.ts
@@ -0,0 +1,56 @@
+import type { CallerShedding } from '../callerShedding.js';
+import type { TargetDirectory } from '../directory/targetDirectory.js';
+import type { RequestTrees } from '../forwarding/requestTrees.js';
+import type { RoutingKeeper } from '../routes/routingKeeper.js';
+
+/** What the levels are made from. */
+export interface RouteLevelsOptions {
+  shedding: CallerShedding;
+  directory: TargetDirectory;
+  routing: RoutingKeeper;
+  trees: RequestTrees;
+}
+
+/**
+ * Shedding levels by route. Answers an overload deep in a call graph: a request at the root is
+ * refused where the services further down, which its route was seen to need, would shed its calls,
+ * and routes that need none of them go on.
+ */
+export class RouteLevels {
+  constructor(private readonly options: RouteLevelsOptions) {}
+
+  /** Remembers the level that a target told for a route. */
+  learn(route: string, targetKey: string, level: number): void {
+    this.options.shedding.learn(RouteLevels.nameOf(route, targetKey), level);
+  }
+
+  /** True when a request at the root should not be sent to a target. */
+  refuses(route: string, targetKey: string, place: number): boolean {
+    return this.options.shedding.refuses(RouteLevels.nameOf(route, targetKey), place);
+  }
+
+  /** Level that the calls of a route's requests must pass; each service at its least target. */
+  below(route: string): number {
+    let highest = 0;
+    for (const child of this.options.trees.childrenOf(route)) {
+      highest = Math.max(highest, this.leastOf(child));
+    }
+    return highest;
+  }
+
+  private leastOf(name: string): number {
+    const { directory, routing, shedding } = this.options;
+    const route = routing.named(name);
+    if (!route) return 0;
+    const targets = route.shares
+      .filter(({ weight }) => weight > 0)
+      .flatMap(({ service }) => directory.of(service))
+      .filter(({ record }) => record.state === 'ready')
+      .map(({ key }) => RouteLevels.nameOf(name, key));
+    return shedding.leastLevelOf(targets);
+  }
+
+  private static nameOf(route: string, targetKey: string): string {
+    return `${route}@${targetKey}`;
+  }
+}
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -51,11 +51,20 @@
 
   constructor(private readonly options: PlacementOptions) {}
 
-  /** A target of `service` that is not in `tried`, or undefined. */
-  choose(service: string, tried: ReadonlySet<string>): KnownTarget | undefined {
+  /** True when a target of `service` serves. */
+  knows(service: string): boolean {
+    return this.options.directory.of(service).some(({ record }) => record.state === 'ready');
+  }
+
+  /** A target of `service` that is not in `tried` and not shedding, or undefined. */
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+    isShedding: (key: string) => boolean,
+  ): KnownTarget | undefined {
     const ready = this.options.directory
       .of(service)
-      .filter(({ key, record }) => record.state === 'ready' && !tried.has(key));
+      .filter(({ key, record }) => record.state === 'ready' && !tried.has(key) && !isShedding(key));
     const now = this.options.clock.now();
     const sound = ready.filter(({ key }) => this.viewOf(key).avoidUntil <= now);
     return this.cheapest(sound.length > 0 ? sound : ready);
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -6,7 +6,9 @@
   MAX_SILENCE_MS,
   PeerExchange,
   PeerServer,
+  RequestTrees,
   RetryBudget,
+  RouteLevels,
   RoutingKeeper,
   RpcPeerCaller,
   TARGETS_PREFIX,
@@ -16,6 +18,7 @@
   VOID_METHOD,
   closeHttp,
   createAdmission,
+  createCallerShedding,
   createHistograms,
   createHopSender,
   createRequestGateway,
@@ -130,6 +133,13 @@
   const peers = new RpcPeerCaller();
   const methods = new PeerServer();
 
+  const trees = new RequestTrees();
+  const levels = new RouteLevels({
+    shedding: createCallerShedding(clock, random),
+    directory,
+    routing,
+    trees,
+  });
   const guard: TargetGuard = createTargetGuard({
     clock,
     logger,
@@ -139,6 +149,8 @@
     attempts,
     target,
     histograms,
+    trees,
+    levels,
     endpoint: settings.target,
     incarnation,
     isStopping: () => stopping,
@@ -200,6 +212,8 @@
     histograms,
     routing,
     placement,
+    levels,
+    trees,
     sender: createHopSender({
       transport: hopTransport,
       peers,
@@ -247,6 +261,7 @@
     const answer = await gateway.forward(
       {
         id: caller?.id ?? '',
+        parentId: caller?.parentId,
         method: message.method,
         url: message.url,
         host: typeof host === 'string' ? host : '',
@@ -310,7 +325,8 @@
   const listeners = await listenAll();
   const interim = startInterimAnswers(listeners.hops.server, clock);
   await methods.listen(settings.address, settings.listen.peerPort);
-  routing.onChange(({ limits }) => {
+  routing.onChange(({ limits, routes }) => {
+    trees.keepRoutes(new Set(routes.map(({ name }) => name)));
     listeners.requests.server.keepAliveTimeout = limits.idleTimeoutMs;
     listeners.requests.server.headersTimeout = limits.headerTimeoutMs;
   });
