perf(core): daemons pass requests on kept connections, many at once

Requests between daemons are MessagePack messages on a few connections now, with cancelling and a test for silence.

--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -8,11 +8,12 @@
 import type { TargetPlacement } from '../placement/targetPlacement.js';
 import type { RandomSource } from '../random.js';
 import { ResultCode, httpStatusOf, isNotRun } from '../resultCode.js';
+import type { ResultNumber } from '../resultCode.js';
 import type { RetryBudget } from '../retryBudget.js';
 import type { RouteLevels } from '../placement/routeLevels.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
-import type { HopAnswer, HopRequest } from './hop.js';
+import type { HopAnswer, HopRequest } from './hopMessages.js';
 import type { HopSender } from './hopSender.js';
 import { Passage } from './passage.js';
 import type { AttemptEnd } from './passage.js';
@@ -47,6 +48,8 @@
   trees: RequestTrees;
   sender: HopSender;
   retryBudget: RetryBudget;
+  /** Port for control messages of this daemon. */
+  peerPort: number;
   /** Id of this run of the daemon. */
   incarnation: string;
   /** Service that runs on this host. */
@@ -93,6 +96,7 @@
       targetId: target.record.targetId,
       incarnation: placement.incarnationOf(target),
       configurationVersion: routing.version(),
+      peerPort: options.peerPort,
     };
   }
 
@@ -137,7 +141,7 @@
       const hop = sent.value;
       noteHop(passage, target, hop);
       const answer = hop.code === ResultCode.ok ? hop.answer : undefined;
-      return { code: hop.code, message: hop.message, reached: hop.reached, answer };
+      return { code: hop.code as ResultNumber, message: hop.message, reached: hop.reached, answer };
     }
     const { code, message } = sent.error;
     if (isNotRun(code)) {
@@ -163,9 +167,10 @@
     if (end.code === ResultCode.notRunDeadline) return false;
     const repeatable = passage.route.execution === 'repeatable';
     if (end.answer) {
-      // A target that fails because its calls were shed fails again.
-      const isShedding = levels.below(passage.route.name) > 0;
-      return repeatable && end.answer.status >= 500 && !isShedding && takeRepeat(passage);
+      // A tree is repeated at its root only, or each level would repeat the work of all below it;
+      // and a target that fails because its calls were shed fails again.
+      const isRepeated = repeatable && end.answer.status >= 500 && !passage.isInner;
+      return isRepeated && levels.below(passage.route.name) === 0 && takeRepeat(passage);
     }
     if (!isNotRun(end.code) && !repeatable) return false;
     return !end.reached || takeRepeat(passage);
--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -12,7 +12,7 @@
 import type { RouteLevels } from '../placement/routeLevels.js';
 import type { AttemptRegister } from './attemptRegister.js';
 import type { HeaderDialect } from './forwardedRequest.js';
-import type { HopAnswer, HopRequest, TargetLoad } from './hop.js';
+import type { HopAnswer, HopRequest, TargetLoad } from './hopMessages.js';
 import type { RequestTrees } from './requestTrees.js';
 
 /** Weight of the newest sample in the mean time at the target. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -217,8 +217,9 @@
   ForwardedRequest,
   TargetEnvelope,
 } from './forwarding/forwardedRequest.js';
-export { HOP_HEADER, HOP_PATH, decodeHopRequest, encodeHopAnswer } from './forwarding/hop.js';
-export type { HopAnswer, HopRequest, TargetLoad } from './forwarding/hop.js';
+export { HopClient } from './forwarding/hopClient.js';
+export { HopServer } from './forwarding/hopServer.js';
+export type { HopAnswer, HopRequest, TargetLoad } from './forwarding/hopMessages.js';
 export { AttemptRegister } from './forwarding/attemptRegister.js';
 export type { VoidOutcome } from './forwarding/attemptRegister.js';
 export { createTargetGuard } from './forwarding/targetGuard.js';
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock.js';
 import type { KnownTarget, TargetDirectory } from '../directory/targetDirectory.js';
-import type { HopAnswer, TargetLoad } from '../forwarding/hop.js';
+import type { HopAnswer, TargetLoad } from '../forwarding/hopMessages.js';
 import type { RandomSource } from '../random.js';
 
 /** Share of the slots up to which a target is taken to answer without a wait. */
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -1,9 +1,10 @@
 import { v7 as uuidv7 } from 'uuid';
 import {
   AttemptRegister,
+  HopClient,
+  HopServer,
   HttpCallTransport,
   LocalTarget,
-  MAX_SILENCE_MS,
   PeerExchange,
   PeerServer,
   RequestTrees,
@@ -24,11 +25,8 @@
   createRequestGateway,
   createSupervisor,
   createTargetGuard,
-  decodeHopRequest,
-  encodeHopAnswer,
   endToEndHeaders,
   listenHttp,
-  startInterimAnswers,
 } from '@shallotcroft/core';
 import type {
   Clock,
@@ -50,8 +48,6 @@
 
 /** Largest request body that is held while no configuration says otherwise, in bytes. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
-/** Longer than daemons keep idle connections, so that the sender closes first, in milliseconds. */
-const HOP_IDLE_TIMEOUT_MS = 30_000;
 /** Idle time after which callers' connections are closed while no configuration is known. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Two readiness checks a second apart, and the time in which callers learn, in milliseconds. */
@@ -64,7 +60,7 @@
 /** Daemons of the fleet that share the spare retries while the directory is empty. */
 const FIRST_FLEET_SIZE = 16;
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
-const BUDGET_SHARE = 0.35;
+const BUDGET_SHARE = 0.2;
 const SWEEP_INTERVAL_MS = 5000;
 const MS_PER_S = 1000;
 
@@ -85,7 +81,6 @@
 
 interface Listeners {
   requests: ListeningServer;
-  hops: ListeningServer;
   others: ListeningServer[];
 }
 
@@ -115,13 +110,7 @@
     clock,
     settings: { limit: 'fixed', slots: 1, objective: 'goodput' },
   });
-  const hopTransport = new HttpCallTransport({
-    clock,
-    incarnation,
-    silenceMs: MAX_SILENCE_MS,
-    echoRequired: true,
-    connections: { connections: 512 },
-  });
+  const hopClient = new HopClient(clock);
   const targetTransport = new HttpCallTransport({
     clock,
     incarnation,
@@ -215,12 +204,12 @@
     levels,
     trees,
     sender: createHopSender({
-      transport: hopTransport,
+      client: hopClient,
       peers,
       guard,
       ownKey,
-      peerPort: settings.listen.peerPort,
     }),
+    peerPort: settings.listen.peerPort,
     retryBudget: new RetryBudget(
       clock,
       settings.retry.ratio * BUDGET_SHARE,
@@ -276,31 +265,24 @@
     return answer;
   }
 
-  async function handleHop(message: HttpMessage) {
-    const hop = decodeHopRequest(endToEndHeaders(message.headers), message.body);
-    if (hop.isErr()) {
-      logger.log('warn', 'request of another daemon refused', { reason: hop.error.message });
-      return { status: 400, headers: {}, body: Buffer.from(hop.error.message) };
-    }
-    const { request, peerPort } = hop.value;
+  const hopServer = new HopServer((request, signal, remoteAddress) => {
     if (request.configurationVersion > routing.version()) {
-      askPeer(message.remoteAddress, peerPort);
+      askPeer(remoteAddress, request.peerPort);
     }
-    return encodeHopAnswer(await guard.handle(request, message.signal));
-  }
+    return guard.handle(request, signal);
+  }, logger);
 
   async function listenAll(): Promise<Listeners> {
     const { requests, readiness, heartbeats, callPort } = settings.listen;
     const listeners: Listeners = {
       requests: await listen(requests, handleRequest),
-      hops: await listen({ address: settings.address, port: callPort }, handleHop),
       others: [
         await listen(readiness, platform.readinessHandler(isReady)),
         await listen(heartbeats, platform.heartbeatHandler(target)),
       ],
     };
     listeners.requests.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-    listeners.hops.server.keepAliveTimeout = HOP_IDLE_TIMEOUT_MS;
+    await hopServer.listen(settings.address, callPort);
     return listeners;
   }
 
@@ -323,7 +305,6 @@
   });
 
   const listeners = await listenAll();
-  const interim = startInterimAnswers(listeners.hops.server, clock);
   await methods.listen(settings.address, settings.listen.peerPort);
   routing.onChange(({ limits, routes }) => {
     trees.keepRoutes(new Set(routes.map(({ name }) => name)));
@@ -345,6 +326,7 @@
     while (!signal.aborted) {
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
       placement.sweep();
+      hopClient.sweep();
     }
   });
   logger.log('info', 'daemon serves', { incarnation, host: settings.host });
@@ -368,11 +350,9 @@
     });
     announce();
     await finishRequests();
-    await Promise.race([
-      Promise.all([closeHttp(listeners.requests.server), closeHttp(listeners.hops.server)]),
-      clock.sleep(STOP_RESERVE_MS / 2),
-    ]);
-    interim.stop();
+    await Promise.race([closeHttp(listeners.requests.server), clock.sleep(STOP_RESERVE_MS / 2)]);
+    hopServer.close();
+    hopClient.close();
     watches.forEach((watch) => watch.close());
     logger.log('info', 'daemon stopped', { requests: gateway.active(), hops: guard.active() });
   }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,5 +12,7 @@
     '@shallotcroft/core': './packages/core/src/index.ts',
     '@shallotcroft/daemon': './packages/daemon/src/index.ts',
   },
+  minifyWhitespace: true,
+  minifySyntax: true,
   logLevel: 'warning',
 });
