--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -8,7 +8,7 @@
 import type { Failure } from '../failure.js';
 import { ResultCode } from '../resultCode.js';
 import type { ResultNumber } from '../resultCode.js';
-import { parseHopMessage } from './hopMessages.js';
+import { readHopFields, requestFields } from './hopMessages.js';
 import type { HopAnswer, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
 
@@ -53,7 +53,7 @@
   ) {
     this.usedAt = clock.now();
     this.socket = connect({ host: to.address, port: to.port, noDelay: true });
-    this.stream = new MessageStream(this.socket, (message) => this.take(message));
+    this.stream = new MessageStream(this.socket, (fields, body) => this.take(fields, body));
     this.timer = clock.startTimer(CONNECT_TIMEOUT_MS, () => {
       this.fail(ResultCode.notRunConnect, `no connection within ${CONNECT_TIMEOUT_MS} ms`);
     });
@@ -94,7 +94,7 @@
           resolve(result);
         },
       });
-      this.stream.write({ kind: 'request', id, request });
+      this.stream.write(requestFields(id, request), request.body);
     });
   }
 
@@ -108,13 +108,13 @@
     this.watch();
   }
 
-  private take(message: unknown): void {
+  private take(fields: unknown, body: Buffer): void {
     this.heardAt = this.clock.now();
-    const read = parseHopMessage(message);
+    const read = readHopFields(fields);
     if (read?.kind !== 'answer') return;
     const pending = this.pending.get(read.id);
     this.pending.delete(read.id);
-    pending?.settle(Ok(read.answer));
+    pending?.settle(Ok({ ...read.answer, answer: { ...read.answer.answer, body } }));
   }
 
   private cancel(id: number, code: ResultNumber, message: string): void {
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -1,80 +1,92 @@
-import { z } from 'zod';
-import { importances } from '../configuration.js';
-import { resultNameOf } from '../resultCode.js';
+import type { CallAnswer, CallHeaders } from '../call.js';
+import type { Execution, Importance } from '../configuration.js';
+import type { ResultNumber } from '../resultCode.js';
 
-const headersSchema = z.record(z.string(), z.string());
-const bytesSchema = z.custom<Buffer>((value) => Buffer.isBuffer(value));
-
-const requestSchema = z.object({
-  attemptId: z.string().min(1),
-  callerId: z.string(),
-  method: z.string(),
-  url: z.string().min(1),
-  host: z.string(),
-  headers: headersSchema,
-  body: bytesSchema,
-  remainingMs: z.number(),
-  callerService: z.string(),
-  importance: z.enum(importances),
+/** A request as one daemon passes it to the daemon beside a target. */
+export interface HopRequest {
+  /** Id of this attempt, unique in the fleet. */
+  attemptId: string;
+  /** Id that the caller gave its request. */
+  callerId: string;
+  method: string;
+  url: string;
+  host: string;
+  headers: CallHeaders;
+  body: Buffer;
+  remainingMs: number;
+  callerService: string;
+  importance: Importance;
   /** Id of the request at the root of the tree. */
-  rootId: z.string(),
+  rootId: string;
   /** True when another request's target made this call. */
-  isInner: z.boolean(),
-  route: z.string(),
-  execution: z.enum(['repeatable', 'atMostOnce']),
-  service: z.string().min(1),
-  targetId: z.string(),
+  isInner: boolean;
+  route: string;
+  execution: Execution;
+  service: string;
+  targetId: string;
   /** Run of the daemon that the request is for; another run refuses it. */
-  incarnation: z.string(),
+  incarnation: string;
   /** Version of the configuration that the sender has in force. */
-  configurationVersion: z.number(),
+  configurationVersion: number;
   /** Port for control messages of the sender. */
-  peerPort: z.int(),
-});
+  peerPort: number;
+}
 
-const loadSchema = z.object({
-  inFlight: z.number(),
-  waiting: z.number(),
-  limit: z.number(),
+/** How much a target has to do. */
+export interface TargetLoad {
+  inFlight: number;
+  waiting: number;
+  limit: number;
   /** Mean time at the target, in milliseconds. */
-  serviceMs: z.number(),
-});
+  serviceMs: number;
+}
 
-const answerSchema = z.object({
+/** What the daemon beside a target answers. */
+export interface HopAnswer {
   /** `ok` when the target answered; its answer may still be a failure of its own. */
-  code: z.custom<number>((code) => typeof code === 'number' && resultNameOf(code) !== undefined),
+  code: ResultNumber;
   /** Whether any byte of the request went to the target. */
-  reached: z.boolean(),
-  answer: z.object({ status: z.int(), headers: headersSchema, body: bytesSchema }),
-  load: loadSchema,
-  shedLevel: z.number(),
-  configurationVersion: z.number(),
-  incarnation: z.string(),
+  reached: boolean;
+  answer: CallAnswer;
+  load: TargetLoad;
+  shedLevel: number;
+  configurationVersion: number;
+  incarnation: string;
   /** Why there is no answer of the target. */
-  message: z.string(),
-});
+  message: string;
+}
 
-const messageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('request'), id: z.int(), request: requestSchema }),
-  z.object({ kind: z.literal('answer'), id: z.int(), answer: answerSchema }),
-  z.object({ kind: z.literal('cancel'), id: z.int() }),
-  z.object({ kind: z.literal('ping') }),
-  z.object({ kind: z.literal('pong') }),
-]);
+/** Fields of a message between two daemons; the body of a request or an answer follows them. */
+export type HopFields =
+  | { kind: 'request'; id: number; request: Omit<HopRequest, 'body'> }
+  | { kind: 'answer'; id: number; answer: HopAnswerFields }
+  | { kind: 'cancel'; id: number }
+  | { kind: 'ping' }
+  | { kind: 'pong' };
 
-/** A request as one daemon passes it to the daemon beside a target. */
-export type HopRequest = z.infer<typeof requestSchema>;
+interface HopAnswerFields extends Omit<HopAnswer, 'answer'> {
+  answer: Omit<CallAnswer, 'body'>;
+}
 
-/** How much a target has to do. */
-export type TargetLoad = z.infer<typeof loadSchema>;
+const kinds = new Set(['request', 'answer', 'cancel', 'ping', 'pong']);
 
-/** What the daemon beside a target answers. */
-export type HopAnswer = z.infer<typeof answerSchema>;
+/**
+ * Reads the fields of a message; undefined when they are of another kind. Both ends run the same
+ * release, so the kind is checked and not each field: that is done for every request.
+ */
+export function readHopFields(fields: unknown): HopFields | undefined {
+  const { kind } = (fields ?? {}) as { kind?: unknown };
+  return typeof kind === 'string' && kinds.has(kind) ? (fields as HopFields) : undefined;
+}
 
-/** What two daemons write on a connection between them. */
-export type HopMessage = z.infer<typeof messageSchema>;
+/** Fields of a request, without its body. */
+export function requestFields(id: number, request: HopRequest): HopFields {
+  const { body, ...rest } = request;
+  return { kind: 'request', id, request: rest };
+}
 
-/** Reads a message of another daemon; undefined when it is not one. */
-export function parseHopMessage(message: unknown): HopMessage | undefined {
-  return messageSchema.safeParse(message).data;
+/** Fields of an answer, without its body. */
+export function answerFields(id: number, hop: HopAnswer): HopFields {
+  const { status, headers } = hop.answer;
+  return { kind: 'answer', id, answer: { ...hop, answer: { status, headers } } };
 }
--- a/packages/core/src/forwarding/hopServer.ts
+++ b/packages/core/src/forwarding/hopServer.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Logger } from '../logger.js';
-import { parseHopMessage } from './hopMessages.js';
+import { answerFields, readHopFields } from './hopMessages.js';
 import type { HopAnswer, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
 
@@ -46,8 +46,8 @@
     this.sockets.add(socket);
     const running = new Map<number, AbortController>();
     const remoteAddress = socket.remoteAddress ?? '';
-    const stream = new MessageStream(socket, (message) => {
-      const read = parseHopMessage(message);
+    const stream = new MessageStream(socket, (fields, body) => {
+      const read = readHopFields(fields);
       if (!read) {
         this.logger.log('warn', 'message of another daemon is not readable', { remoteAddress });
       } else if (read.kind === 'ping') stream.write({ kind: 'pong' });
@@ -55,10 +55,10 @@
       else if (read.kind === 'request') {
         const gone = new AbortController();
         running.set(read.id, gone);
-        this.handler(read.request, gone.signal, remoteAddress)
+        this.handler({ ...read.request, body }, gone.signal, remoteAddress)
           .then((answer) => {
             running.delete(read.id);
-            if (!socket.destroyed) stream.write({ kind: 'answer', id: read.id, answer });
+            if (!socket.destroyed) stream.write(answerFields(read.id, answer), answer.answer.body);
           })
           .catch((error: Error) => socket.destroy(error));
       }
--- a/packages/core/src/forwarding/messageStream.ts
+++ b/packages/core/src/forwarding/messageStream.ts
@@ -1,13 +1,16 @@
 import type { Socket } from 'node:net';
-import { Packr } from 'msgpackr';
 
-const LENGTH_BYTES = 4;
+/** Length of the fields and length of the body, each as 32 bits. */
+const HEAD_BYTES = 8;
 /** Longest message; a longer one means that the other end speaks something else. */
 const MAX_MESSAGE_BYTES = 72 * 1024 * 1024;
 
-const packr = new Packr({ useRecords: false });
+const noBody = Buffer.alloc(0);
 
-/** Puts messages on a socket and takes them off: MessagePack, each behind its length. */
+/** Takes a message off a stream: its fields, and its body as it was sent. */
+export type MessageListener = (fields: unknown, body: Buffer) => void;
+
+/** Puts messages on a socket and takes them off: fields as JSON and a body, behind their lengths. */
 export class MessageStream {
   private chunks: Buffer[] = [];
 
@@ -15,13 +18,13 @@
 
   constructor(
     private readonly socket: Socket,
-    onMessage: (message: unknown) => void,
+    listener: MessageListener,
   ) {
     socket.on('data', (chunk: Buffer) => {
       this.chunks.push(chunk);
       this.buffered += chunk.length;
       try {
-        this.takeAll(onMessage);
+        this.takeAll(listener);
       } catch (error) {
         socket.destroy(error as Error);
       }
@@ -33,22 +36,29 @@
     return this.socket.writableLength;
   }
 
-  write(message: unknown): void {
-    const packed = packr.pack(message);
-    const framed = Buffer.allocUnsafe(LENGTH_BYTES + packed.length);
-    framed.writeUInt32BE(packed.length, 0);
-    packed.copy(framed, LENGTH_BYTES);
+  write(fields: unknown, body: Buffer = noBody): void {
+    const text = JSON.stringify(fields);
+    const textBytes = Buffer.byteLength(text);
+    const framed = Buffer.allocUnsafe(HEAD_BYTES + textBytes + body.length);
+    framed.writeUInt32BE(textBytes, 0);
+    framed.writeUInt32BE(body.length, HEAD_BYTES / 2);
+    framed.write(text, HEAD_BYTES);
+    body.copy(framed, HEAD_BYTES + textBytes);
     this.socket.write(framed);
   }
 
-  private takeAll(onMessage: (message: unknown) => void): void {
-    while (this.buffered >= LENGTH_BYTES) {
-      const length = this.join(LENGTH_BYTES).readUInt32BE(0);
+  private takeAll(listener: MessageListener): void {
+    while (this.buffered >= HEAD_BYTES) {
+      const head = this.join(HEAD_BYTES);
+      const textBytes = head.readUInt32BE(0);
+      const length = HEAD_BYTES + textBytes + head.readUInt32BE(HEAD_BYTES / 2);
       if (length > MAX_MESSAGE_BYTES) throw new Error(`a message of ${length} bytes is too long`);
-      if (this.buffered < LENGTH_BYTES + length) return;
-      const whole = this.join(LENGTH_BYTES + length);
-      this.drop(LENGTH_BYTES + length);
-      onMessage(packr.unpack(whole.subarray(LENGTH_BYTES, LENGTH_BYTES + length)));
+      if (this.buffered < length) return;
+      const whole = this.join(length);
+      this.drop(length);
+      const bodyAt = HEAD_BYTES + textBytes;
+      const fields: unknown = JSON.parse(whole.toString('utf8', HEAD_BYTES, bodyAt));
+      listener(fields, whole.subarray(bodyAt, length));
     }
   }
 
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -8,7 +8,6 @@
 import type { TargetPlacement } from '../placement/targetPlacement.js';
 import type { RandomSource } from '../random.js';
 import { ResultCode, httpStatusOf, isNotRun } from '../resultCode.js';
-import type { ResultNumber } from '../resultCode.js';
 import type { RetryBudget } from '../retryBudget.js';
 import type { RouteLevels } from '../placement/routeLevels.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
@@ -141,7 +140,7 @@
       const hop = sent.value;
       noteHop(passage, target, hop);
       const answer = hop.code === ResultCode.ok ? hop.answer : undefined;
-      return { code: hop.code as ResultNumber, message: hop.message, reached: hop.reached, answer };
+      return { code: hop.code, message: hop.message, reached: hop.reached, answer };
     }
     const { code, message } = sent.error;
     if (isNotRun(code)) {
