--- a/packages/core/src/directory/targetDirectory.ts
+++ b/packages/core/src/directory/targetDirectory.ts
@@ -35,6 +35,9 @@
 
   private readonly services = new Map<string, KnownTarget[]>();
 
+  /** Keys of records that may have lapsed. */
+  private readonly lapsed = new Set<string>();
+
   private storeReachableSince: number | undefined;
 
   constructor(
@@ -95,7 +98,9 @@
     if (known && known.lapsedAt === undefined && !isNewer(record, known.record)) return;
     this.learn(key, record);
     const learned = this.targets.get(key);
-    if (learned) learned.lapsedAt = this.clock.now();
+    if (!learned) return;
+    learned.lapsedAt = this.clock.now();
+    this.lapsed.add(key);
   }
 
   /** The store no longer holds the record: its lease lapsed or it was deleted. */
@@ -103,11 +108,15 @@
     const known = this.targets.get(key);
     if (!known) return;
     if (known.record.state !== 'ready') this.drop(known, 'left');
-    else known.lapsedAt ??= this.clock.now();
+    else {
+      known.lapsedAt ??= this.clock.now();
+      this.lapsed.add(key);
+    }
   }
 
   private drop(known: KnownTarget, reason: string): void {
     this.targets.delete(known.key);
+    this.lapsed.delete(known.key);
     this.index();
     this.logger.log('info', 'target dropped', {
       key: known.key,
@@ -120,11 +129,12 @@
 
   private dropLapsed(): void {
     const since = this.storeReachableSince;
-    if (since === undefined) return;
+    if (since === undefined || this.lapsed.size === 0) return;
     const now = this.clock.now();
-    this.targets.forEach((known) => {
-      if (known.lapsedAt === undefined) return;
-      if (now - Math.max(known.lapsedAt, since) > LAPSE_GRACE_MS) this.drop(known, 'lapsed');
+    this.lapsed.forEach((key) => {
+      const known = this.targets.get(key);
+      if (known?.lapsedAt === undefined) this.lapsed.delete(key);
+      else if (now - Math.max(known.lapsedAt, since) > LAPSE_GRACE_MS) this.drop(known, 'lapsed');
     });
   }
 
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -18,6 +18,8 @@
 /** Time that a closing server gives answers to leave, in milliseconds. */
 const FLUSH_MS = 2000;
 
+const noBody = Buffer.alloc(0);
+
 const activeRequests = new WeakMap<Server, Set<Promise<void>>>();
 
 /** A whole HTTP request. */
@@ -92,6 +94,11 @@
   incoming: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<Buffer, Failure>> {
+  const { headers } = incoming;
+  if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
+    incoming.resume();
+    return Ok(noBody);
+  }
   try {
     return Ok(await readBody(incoming, limitBytes));
   } catch (error) {
--- a/packages/core/src/placement/routeLevels.ts
+++ b/packages/core/src/placement/routeLevels.ts
@@ -1,10 +1,15 @@
+import type { Clock } from '../clock.js';
 import type { CallerShedding } from '../callerShedding.js';
 import type { TargetDirectory } from '../directory/targetDirectory.js';
 import type { RequestTrees } from '../forwarding/requestTrees.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 
+/** Time for which the level below a route is kept, in milliseconds. */
+const CACHE_MS = 20;
+
 /** What the levels are made from. */
 export interface RouteLevelsOptions {
+  clock: Clock;
   shedding: CallerShedding;
   directory: TargetDirectory;
   routing: RoutingKeeper;
@@ -17,6 +22,8 @@
  * and routes that need none of them go on.
  */
 export class RouteLevels {
+  private readonly cache = new Map<string, { level: number; until: number }>();
+
   constructor(private readonly options: RouteLevelsOptions) {}
 
   /** Remembers the level that a target told for a route. */
@@ -29,8 +36,18 @@
     return this.options.shedding.refuses(RouteLevels.nameOf(route, targetKey), place);
   }
 
-  /** Level that the calls of a route's requests must pass; each service at its least target. */
+  /** Level below a route; worked out anew after a short time. */
   below(route: string): number {
+    const now = this.options.clock.now();
+    const cached = this.cache.get(route);
+    if (cached && now < cached.until) return cached.level;
+    const level = this.highestBelow(route);
+    this.cache.set(route, { level, until: now + CACHE_MS });
+    return level;
+  }
+
+  /** Level that the calls of a route's requests must pass; each service at its least target. */
+  private highestBelow(route: string): number {
     let highest = 0;
     for (const child of this.options.trees.childrenOf(route)) {
       highest = Math.max(highest, this.leastOf(child));
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -124,6 +124,7 @@
 
   const trees = new RequestTrees();
   const levels = new RouteLevels({
+    clock,
     shedding: createCallerShedding(clock, random),
     directory,
     routing,
