--- a/packages/core/src/__tests__/targetAdmission.spec.ts
+++ b/packages/core/src/__tests__/targetAdmission.spec.ts
@@ -131,3 +131,26 @@
   assert.equal(codeOf(await high), ResultCode.notRunQueueTimeout);
   assert.equal(codeOf(await low), ResultCode.notRunShed);
 });
+
+test('a call of a tree that has begun goes before all that has not, and is refused last', async () => {
+  const clock = new ManualClock();
+  const admission = createAdmission({ clock, settings });
+  const permit = (await admission.enter(requestOf())).unwrap();
+  const order: string[] = [];
+  const enter = async (name: string, overrides: Partial<AdmissionRequest>): Promise<void> => {
+    const result = await admission.enter(requestOf({ caller: name, ...overrides }));
+    order.push(`${name} ${result.isOk() ? 'admitted' : 'refused'}`);
+    if (result.isOk()) result.value.release('completed');
+  };
+  const entered = [
+    enter('root', { importance: 'critical' }),
+    enter('inner', { importance: 'low', isInner: true }),
+    // One more than the waiting room of a single slot holds.
+    enter('second', { importance: 'normal' }),
+    enter('third', { importance: 'normal' }),
+    enter('fourth', { importance: 'low' }),
+  ];
+  permit.release('completed');
+  await Promise.all(entered);
+  assert.deepEqual(order.slice(0, 3), ['fourth refused', 'inner admitted', 'root admitted']);
+});
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -11,6 +11,8 @@
   deadlineAt: number;
   /** Aborted when the caller has gone. */
   signal: AbortSignal;
+  /** True for a call of a tree that has begun: it goes before all that has not. */
+  isInner?: boolean;
   /** Level of the services that this call will need; below it the call is not begun. */
   levelBelow?: () => number;
 }
--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -154,6 +154,7 @@
       caller: request.rootId,
       deadlineAt,
       signal,
+      isInner: request.isInner,
       levelBelow: () => (request.isInner ? 0 : options.levels.below(request.route)),
     });
     if (permit.isErr()) {
--- a/packages/core/src/targetAdmission.ts
+++ b/packages/core/src/targetAdmission.ts
@@ -18,7 +18,7 @@
 import { FixedLimit } from './fixedLimit.js';
 import { ResultCode } from './resultCode.js';
 import type { ResultNumber } from './resultCode.js';
-import { ShedLevel, placeOf } from './shedLevel.js';
+import { PLACE_COUNT, ShedLevel, placeOf } from './shedLevel.js';
 import { UnlimitedLimit } from './unlimitedLimit.js';
 
 import { WaitingRoom } from './waitingRoom.js';
@@ -189,7 +189,8 @@
     const enteredAt = this.clock.now();
     const watch = new AbortController();
     const call: WaitingCall = {
-      place,
+      // Work was done for a call of a tree that has begun; it would be lost with the call.
+      place: request.isInner ? place + PLACE_COUNT : place,
       deadlineAt,
       enteredAt,
       levelBelow: request.levelBelow ?? (() => 0),
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -57,6 +57,8 @@
 const STOP_POLL_MS = 25;
 /** Share of the slots that is used; some targets slow down when they are nearly full. */
 const USED_SLOT_SHARE = 0.95;
+/** Answers of a route come from each target only a few times a second. */
+const ROUTE_LEVEL_MEMORY = { freshMs: 800, forgetMs: 1500 };
 /** Daemons of the fleet that share the spare retries while the directory is empty. */
 const FIRST_FLEET_SIZE = 16;
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
@@ -125,7 +127,7 @@
   const trees = new RequestTrees();
   const levels = new RouteLevels({
     clock,
-    shedding: createCallerShedding(clock, random),
+    shedding: createCallerShedding(clock, random, ROUTE_LEVEL_MEMORY),
     directory,
     routing,
     trees,
