--- a/packages/core/src/call.ts
+++ b/packages/core/src/call.ts
@@ -24,6 +24,8 @@
   status: number;
   headers: CallHeaders;
   body: Buffer;
+  /** True when the answer had no length and ended with its connection. */
+  endsWithConnection?: boolean;
 }
 
 /** Where calls are sent: a target, or the daemon beside it. */
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -87,6 +87,6 @@
 
 /** Fields of an answer, without its body. */
 export function answerFields(id: number, hop: HopAnswer): HopFields {
-  const { status, headers } = hop.answer;
-  return { kind: 'answer', id, answer: { ...hop, answer: { status, headers } } };
+  const { body, ...answer } = hop.answer;
+  return { kind: 'answer', id, answer: { ...hop, answer } };
 }
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -1,5 +1,6 @@
 import type { CallAnswer } from '../call.js';
 import type { Clock } from '../clock.js';
+import type { Counters } from '../counters.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
 import { createFailure } from '../failure.js';
 import type { Failure } from '../failure.js';
@@ -41,6 +42,7 @@
   random: RandomSource;
   logger: Logger;
   histograms: Histograms;
+  counters: Counters;
   routing: RoutingKeeper;
   placement: TargetPlacement;
   levels: RouteLevels;
@@ -249,6 +251,8 @@
       latencyMs: clock.now() - arrivedAt,
       attempts: passage.attempts,
     });
+    options.counters.increment('requests_total', String(answer.status));
+    options.counters.increment('request_ends_total', String(end.code));
     logEnd(passage, end, answer.status);
     return answer;
   }
@@ -262,7 +266,9 @@
       code: failure.code,
       reason: failure.message,
     });
-    return failureAnswer(failure, retryMs);
+    const answer = failureAnswer(failure, retryMs);
+    options.counters.increment('requests_total', String(answer.status));
+    return answer;
   }
 
   async function admit(request: ForwardedRequest, signal: AbortSignal): Promise<CallAnswer> {
--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -3,6 +3,7 @@
 import type { Admission, Outcome } from '../admission.js';
 import type { CallAnswer, CallTransport, Endpoint } from '../call.js';
 import type { Clock } from '../clock.js';
+import type { Counters } from '../counters.js';
 import type { LocalTarget } from '../directory/localTarget.js';
 import { createFailure } from '../failure.js';
 import type { Failure } from '../failure.js';
@@ -45,6 +46,7 @@
   trees: RequestTrees;
   levels: RouteLevels;
   histograms: Histograms;
+  counters: Counters;
   /** Where the target listens. */
   endpoint: Endpoint;
   /** Id of this run of the daemon. */
@@ -184,6 +186,7 @@
   function answerOf(request: HopRequest, outcome: TargetOutcome): HopAnswer {
     const { result, reached } = outcome;
     const failure = result.isErr() ? result.error : undefined;
+    options.counters.increment('target_attempts_total', String(failure?.code ?? ResultCode.ok));
     if (failure) {
       logger.log('info', 'target did not answer', {
         request: request.callerId,
--- a/packages/core/src/httpExchange.ts
+++ b/packages/core/src/httpExchange.ts
@@ -164,8 +164,9 @@
     }
     const { chunks } = this;
     const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
-    const fate = this.endsWithClose ? 'broken' : 'reusable';
-    this.end(Ok({ status: this.status, headers: this.headers, body }), fate);
+    const answer: CallAnswer = { status: this.status, headers: this.headers, body };
+    if (!this.endsWithClose) this.end(Ok(answer), 'reusable');
+    else this.end(Ok({ ...answer, endsWithConnection: true }), 'broken');
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -41,6 +41,8 @@
   status: number;
   headers: Record<string, string>;
   body: Buffer;
+  /** Tells no length: whoever made the answer gave none, so its end cannot be vouched for. */
+  endsWithConnection?: boolean;
 }
 
 /** Answers one request. */
@@ -80,7 +82,11 @@
 
 function writeAnswer(response: ServerResponse, answer: HttpAnswer): void {
   if (response.destroyed) return;
-  const headers: OutgoingHttpHeaders = { ...answer.headers, 'content-length': answer.body.length };
+  const headers: OutgoingHttpHeaders = { ...answer.headers };
+  if (answer.endsWithConnection) {
+    response.useChunkedEncodingByDefault = false;
+    headers.connection = 'close';
+  } else headers['content-length'] = answer.body.length;
   // By the id of its request the other end knows that the answer is its own.
   const id = response.req.headers[CallHeader.request];
   if (id === undefined) delete headers[CallHeader.request];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -208,6 +208,8 @@
 export { LocalTarget } from './directory/localTarget.js';
 export type { LocalTargetState, TargetHeartbeat } from './directory/localTarget.js';
 export { TargetAnnouncer } from './directory/targetAnnouncer.js';
+export { Counters } from './counters.js';
+export { metricsText } from './metricsText.js';
 export { PeerExchange } from './directory/peerExchange.js';
 export { createBoundedLogger } from './boundedLogger.js';
 export { HeaderDialect } from './forwarding/forwardedRequest.js';
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -1,6 +1,7 @@
 import { v7 as uuidv7 } from 'uuid';
 import {
   AttemptRegister,
+  Counters,
   HopClient,
   HopServer,
   HttpCallTransport,
@@ -18,6 +19,7 @@
   TargetPlacement,
   VOID_METHOD,
   closeHttp,
+  metricsText,
   createAdmission,
   createCallerShedding,
   createHistograms,
@@ -108,6 +110,7 @@
   const target = new LocalTarget(clock, logger);
   const attempts = new AttemptRegister(clock);
   const histograms = createHistograms();
+  const counters = new Counters();
   const admission = createAdmission({
     clock,
     settings: { limit: 'fixed', slots: 1, objective: 'goodput' },
@@ -141,6 +144,7 @@
     attempts,
     target,
     histograms,
+    counters,
     trees,
     levels,
     endpoint: settings.target,
@@ -202,6 +206,7 @@
     random,
     logger,
     histograms,
+    counters,
     routing,
     placement,
     levels,
@@ -275,13 +280,31 @@
     return guard.handle(request, signal);
   }, logger);
 
+  /** Counters, gauges and histograms as text. */
+  async function handleMetrics() {
+    const { inFlight, waiting, limit } = admission.load();
+    const gauges = {
+      configuration_version: routing.version(),
+      store_reachable: storeReachable ? 1 : 0,
+      targets_known: directory.all().length,
+      requests_active: gateway.active(),
+      target_in_flight: inFlight,
+      target_waiting: waiting,
+      target_limit: limit,
+      shed_level: admission.shedLevel(),
+    };
+    const body = Buffer.from(metricsText(gauges, counters, histograms.rows()));
+    return { status: 200, headers: { 'content-type': 'text/plain' }, body };
+  }
+
   async function listenAll(): Promise<Listeners> {
-    const { requests, readiness, heartbeats, callPort } = settings.listen;
+    const { requests, readiness, heartbeats, callPort, metricsPort } = settings.listen;
     const listeners: Listeners = {
       requests: await listen(requests, handleRequest),
       others: [
         await listen(readiness, platform.readinessHandler(isReady)),
         await listen(heartbeats, platform.heartbeatHandler(target)),
+        await listen({ address: settings.address, port: metricsPort }, handleMetrics),
       ],
     };
     listeners.requests.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
@@ -357,6 +380,16 @@
     hopServer.close();
     hopClient.close();
     watches.forEach((watch) => watch.close());
+    listeners.others.forEach(({ server }) => {
+      server.close();
+      server.closeAllConnections();
+    });
+    // The store may be away, and what is left needs no answer.
+    await Promise.race([
+      Promise.all([supervisor.stop(), store.close(), peers.close(), methods.close()]),
+      clock.sleep(STOP_RESERVE_MS / 2),
+    ]);
+    await targetTransport.close();
     logger.log('info', 'daemon stopped', { requests: gateway.active(), hops: guard.active() });
   }
 
