--- a/packages/core/src/__tests__/forwardingParts.spec.ts
+++ b/packages/core/src/__tests__/forwardingParts.spec.ts
@@ -4,6 +4,7 @@
 import { retryAfterMs } from '../forwarding/retryAfter.js';
 import { ManualClock } from '../manualClock.js';
 import { createSeededRandom } from '../random.js';
+import { RetryBudget } from '../retryBudget.js';
 
 test('an attempt that waits can be voided and never begins', () => {
   const attempts = new AttemptRegister(new ManualClock());
@@ -44,3 +45,16 @@
 test('a caller without time left is told to come back at once', () => {
   assert.equal(retryAfterMs(-5, 0, createSeededRandom(1)), 0);
 });
+
+test('part of the retry budget is kept for the most important requests', () => {
+  const budget = new RetryBudget(new ManualClock(), 0.2, 0);
+  for (let call = 0; call < 1000; call++) budget.recordCall('books');
+  const retriesWith = (share: number): number => {
+    let made = 0;
+    while (budget.tryRetry('books', share)) made += 1;
+    return made;
+  };
+  assert.equal(retriesWith(0.2), 40);
+  assert.equal(retriesWith(0.2), 0);
+  assert.equal(retriesWith(1), 160);
+});
--- /dev/null
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { TargetDirectory } from '../directory/targetDirectory.js';
+import type { KnownTarget } from '../directory/targetDirectory.js';
+import type { HopAnswer, TargetLoad } from '../forwarding/hopMessages.js';
+import { silentLogger } from '../logger.js';
+import { ManualClock } from '../manualClock.js';
+import { TargetPlacement } from '../placement/targetPlacement.js';
+import { createSeededRandom } from '../random.js';
+import { ResultCode } from '../resultCode.js';
+import type { ResultNumber } from '../resultCode.js';
+
+const idle: TargetLoad = { inFlight: 0, waiting: 0, limit: 10, serviceMs: 50 };
+
+function answerOf(load: TargetLoad, code: ResultNumber = ResultCode.ok): HopAnswer {
+  return {
+    code,
+    reached: true,
+    answer: { status: 200, headers: {}, body: Buffer.alloc(0) },
+    load,
+    shedLevel: 0,
+    configurationVersion: 1,
+    incarnation: '',
+    message: '',
+  };
+}
+
+/** Two targets here, two in another data centre. */
+function createPlacement() {
+  const clock = new ManualClock();
+  const directory = new TargetDirectory(clock, silentLogger);
+  ['here-1', 'here-2', 'there-1', 'there-2'].forEach((key) => {
+    directory.learn(key, {
+      targetId: key,
+      startedAt: 1,
+      service: 'books',
+      dataCentre: key.startsWith('here') ? 'hobart' : 'burnie',
+      slots: 10,
+      state: 'ready',
+      warmAt: 0,
+      address: '10.0.0.1',
+      callPort: 1,
+      peerPort: 2,
+      incarnation: 'run',
+      version: 1,
+    });
+  });
+  const random = createSeededRandom(3);
+  const placement = new TargetPlacement({ clock, random, directory, dataCentre: 'hobart' });
+  const choose = (tried: string[] = []): KnownTarget | undefined =>
+    placement.choose('books', new Set(tried), () => false);
+  const tell = (keys: string[], load: TargetLoad, code?: ResultNumber): void => {
+    directory
+      .of('books')
+      .filter(({ key }) => keys.includes(key))
+      .forEach((target) => placement.noteAnswer(target, answerOf(load, code)));
+  };
+  return { clock, placement, choose, tell };
+}
+
+function chosenOf(choose: () => KnownTarget | undefined): string[] {
+  const keys = Array.from({ length: 60 }, () => choose()?.key ?? 'none');
+  return [...new Set(keys)].sort();
+}
+
+test('requests stay in their data centre while it has room', () => {
+  const { choose, tell } = createPlacement();
+  tell(['here-1', 'here-2'], { ...idle, inFlight: 7 });
+  assert.equal(
+    chosenOf(choose).every((key) => key.startsWith('here')),
+    true,
+  );
+});
+
+test('a queue here that costs more than the way sends requests to another data centre', () => {
+  const { choose, tell } = createPlacement();
+  tell(['here-1', 'here-2'], { ...idle, inFlight: 10, waiting: 8 });
+  tell(['there-1', 'there-2'], idle);
+  assert.deepEqual(chosenOf(choose), ['there-1', 'there-2']);
+});
+
+test('a target that refuses much of what it is sent gets less than one that does not', () => {
+  const { choose, tell } = createPlacement();
+  for (let answer = 0; answer < 10; answer++) {
+    tell(['here-1'], idle, ResultCode.notRunTargetRefused);
+    tell(['here-2'], idle);
+  }
+  assert.deepEqual(chosenOf(choose), ['here-2']);
+});
+
+test('a target that cannot be reached is avoided, unless it is the last', async () => {
+  const { clock, placement, choose } = createPlacement();
+  const target = choose(['here-2', 'there-1', 'there-2']) as KnownTarget;
+  placement.noteUnreachable(target);
+  assert.deepEqual(chosenOf(choose), ['here-2']);
+  assert.equal(choose(['here-2', 'there-1', 'there-2'])?.key, 'here-1');
+  await clock.advance(1100);
+  assert.deepEqual(chosenOf(choose), ['here-1', 'here-2']);
+});
--- a/packages/core/src/forwarding/passage.ts
+++ b/packages/core/src/forwarding/passage.ts
@@ -1,7 +1,7 @@
 import type { CallAnswer } from '../call.js';
 import { importances } from '../configuration.js';
 import type { Importance } from '../configuration.js';
-import { isOutcomeUnknown } from '../resultCode.js';
+import { isNotRun, isOutcomeUnknown } from '../resultCode.js';
 import type { ResultNumber } from '../resultCode.js';
 import type { Route } from '../routes/route.js';
 import { placeOf } from '../shedLevel.js';
@@ -43,9 +43,12 @@
   /** Daemons that were asked. */
   hops = 0;
 
-  /** Attempts that may have reached a target. */
+  /** Attempts that may have run at a target. */
   attempts = 0;
 
+  /** Attempts that a target refused to run. */
+  refusals = 0;
+
   /** True when an attempt may have run. */
   mayHaveRun = false;
 
@@ -71,9 +74,16 @@
     this.hops += 1;
   }
 
+  /** Every target was asked; those that refused may take the request at another try. */
+  startAnotherRound(): void {
+    this.tried.clear();
+  }
+
   /** An attempt has ended. */
   recordEnd(end: AttemptEnd): void {
-    if (end.reached) this.attempts += 1;
+    // A target that refused has not run the request, so the request has attempts left.
+    if (end.reached && !isNotRun(end.code)) this.attempts += 1;
+    else if (end.reached) this.refusals += 1;
     if (end.answer || isOutcomeUnknown(end.code)) this.mayHaveRun = true;
   }
 }
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -1,4 +1,5 @@
 import type { CallAnswer } from '../call.js';
+import type { Importance } from '../configuration.js';
 import type { Clock } from '../clock.js';
 import type { Counters } from '../counters.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
@@ -21,7 +22,12 @@
 import { retryAfterMs } from './retryAfter.js';
 
 /** Daemons that may be asked for one request; refusals by a daemon cost its target nothing. */
-const MAX_HOPS = 4;
+const MAX_HOPS = 8;
+/**
+ * Part of the retry budget that requests of each importance may use. A service that refuses half
+ * of what comes serves trees of several calls only where most of the budget goes to few of them.
+ */
+const RETRY_SHARES: Record<Importance, number> = { critical: 1, high: 0.5, normal: 0.2, low: 0.2 };
 /** Wait that a daemon without a configuration tells its callers, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** A further attempt needs at least this much time, in milliseconds. */
@@ -158,7 +164,7 @@
   /** Sending to a second target costs a further attempt and a share of the budget. */
   function takeRepeat(passage: Passage): boolean {
     if (passage.attempts >= passage.route.maxAttempts) return false;
-    return options.retryBudget.tryRetry(passage.service);
+    return options.retryBudget.tryRetry(passage.service, RETRY_SHARES[passage.importance]);
   }
 
   /** True when another target may be tried after this end. */
@@ -202,7 +208,11 @@
   async function makeAttempts(passage: Passage): Promise<AttemptEnd> {
     let last = whyNoTarget(passage);
     for (;;) {
-      const target = chooseTarget(passage);
+      let target = chooseTarget(passage);
+      if (!target && last.reached && isNotRun(last.code)) {
+        passage.startAnotherRound();
+        target = chooseTarget(passage);
+      }
       if (!target) return last;
       passage.recordHop(target.key);
       last = await attempt(passage, target);
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -2,6 +2,7 @@
 import type { KnownTarget, TargetDirectory } from '../directory/targetDirectory.js';
 import type { HopAnswer, TargetLoad } from '../forwarding/hopMessages.js';
 import type { RandomSource } from '../random.js';
+import { ResultCode } from '../resultCode.js';
 
 /** Share of the slots up to which a target is taken to answer without a wait. */
 const COMFORTABLE_SHARE = 0.85;
@@ -16,6 +17,11 @@
 /** Time that a target is avoided after it said that it is leaving, in milliseconds. */
 const AVOID_LEAVING_MS = 400;
 
+/** What a target that refuses all that it is sent must save to be preferred, in milliseconds. */
+const REFUSAL_COST_MS = 200;
+/** Weight of the newest answer in the share of refusals. */
+const REFUSAL_WEIGHT = 0.1;
+
 /** Load of a target as this daemon last heard of it. */
 interface Reported {
   load: TargetLoad;
@@ -28,6 +34,8 @@
   own: number;
   reported: Reported | undefined;
   avoidUntil: number;
+  /** Share of its recent answers that were refusals of the target itself. */
+  refusals: number;
   /** Run of the daemon beside the target, where its answers told of a newer one. */
   incarnation: string | undefined;
   /** Run that the directory knew when the newer one was told of. */
@@ -94,6 +102,10 @@
     const view = this.viewOf(target.key);
     const now = this.options.clock.now();
     if (answer.load) view.reported = { load: answer.load, at: now, ownThen: view.own };
+    if (answer.reached) {
+      const refused = answer.code === ResultCode.notRunTargetRefused ? 1 : 0;
+      view.refusals += REFUSAL_WEIGHT * (refused - view.refusals);
+    }
     if (answer.incarnation !== '' && answer.incarnation !== target.record.incarnation) {
       view.incarnation = answer.incarnation;
       view.replaced = target.record.incarnation;
@@ -147,16 +159,17 @@
     const view = this.viewOf(key);
     const now = this.options.clock.now();
     const distance = record.dataCentre === this.options.dataCentre ? 0 : DISTANCE_COST_MS;
+    const refusing = view.refusals * REFUSAL_COST_MS;
     const cold = record.warmAt > this.options.clock.date().getTime() ? COLD_COST_MS : 0;
     const { reported } = view;
     if (!reported || now - reported.at > MAX_LOAD_AGE_MS) {
-      return distance + cold + view.own / record.slots;
+      return distance + cold + refusing + view.own / record.slots;
     }
     const { load } = reported;
     const there = load.inFlight + load.waiting + Math.max(0, view.own - reported.ownThen);
     const waitMs =
       (Math.max(0, there + 1 - COMFORTABLE_SHARE * load.limit) * load.serviceMs) / load.limit;
-    return distance + cold + waitMs + there / load.limit;
+    return distance + cold + refusing + waitMs + there / load.limit;
   }
 
   private viewOf(key: string): View {
@@ -166,6 +179,7 @@
         own: 0,
         reported: undefined,
         avoidUntil: 0,
+        refusals: 0,
         incarnation: undefined,
         replaced: undefined,
       };
--- a/packages/core/src/retryBudget.ts
+++ b/packages/core/src/retryBudget.ts
@@ -28,10 +28,13 @@
     this.countsOf(service).calls += 1;
   }
 
-  /** Counts a retry if the service has room for it; false when it must not be made. */
-  tryRetry(service: string): boolean {
+  /**
+   * Counts a retry if the service has room for it; false when it must not be made. `share` is the
+   * part of the budget that this kind of call may use; the rest is kept for more important ones.
+   */
+  tryRetry(service: string, share = 1): boolean {
     const counts = this.countsOf(service);
-    if (counts.retries + 1 > this.spare + this.ratio * counts.calls) return false;
+    if (counts.retries + 1 > share * (this.spare + this.ratio * counts.calls)) return false;
     counts.retries += 1;
     return true;
   }
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -55,7 +55,9 @@
 /** Two readiness checks a second apart, and the time in which callers learn, in milliseconds. */
 const LEAVE_NOTICE_MS = 2600;
 /** Part of the stop timeout that is kept for ending the process, in milliseconds. */
-const STOP_RESERVE_MS = 600;
+const STOP_RESERVE_MS = 1200;
+/** Longest wait for connections to end, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 300;
 const STOP_POLL_MS = 25;
 /** Share of the slots that is used; some targets slow down when they are nearly full. */
 const USED_SLOT_SHARE = 0.95;
@@ -64,7 +66,7 @@
 /** Daemons of the fleet that share the spare retries while the directory is empty. */
 const FIRST_FLEET_SIZE = 16;
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
-const BUDGET_SHARE = 0.2;
+const BUDGET_SHARE = 0.7;
 const SWEEP_INTERVAL_MS = 5000;
 const MS_PER_S = 1000;
 
@@ -376,7 +378,7 @@
     });
     announce();
     await finishRequests();
-    await Promise.race([closeHttp(listeners.requests.server), clock.sleep(STOP_RESERVE_MS / 2)]);
+    await Promise.race([closeHttp(listeners.requests.server), clock.sleep(CLOSE_TIMEOUT_MS)]);
     hopServer.close();
     hopClient.close();
     watches.forEach((watch) => watch.close());
@@ -387,7 +389,7 @@
     // The store may be away, and what is left needs no answer.
     await Promise.race([
       Promise.all([supervisor.stop(), store.close(), peers.close(), methods.close()]),
-      clock.sleep(STOP_RESERVE_MS / 2),
+      clock.sleep(CLOSE_TIMEOUT_MS),
     ]);
     await targetTransport.close();
     logger.log('info', 'daemon stopped', { requests: gateway.active(), hops: guard.active() });
