--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -145,8 +145,9 @@
     return best;
   }
 
+  /** Targets in random order, so that equal costs do not send all to the same one. */
   private draw(targets: KnownTarget[], count: number): KnownTarget[] {
-    if (targets.length <= count) return targets;
+    if (targets.length < count) return targets;
     const first = Math.floor(this.options.random.next() * targets.length);
     const step = 1 + Math.floor(this.options.random.next() * (targets.length - 1));
     const second = (first + step) % targets.length;
