--- /dev/null
+++ b/packages/core/src/__tests__/innerFailures.spec.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock } from '../manualClock.js';
+import { InnerFailures } from '../placement/innerFailures.js';
+import { placeOf } from '../shedLevel.js';
+
+function record(failures: InnerFailures, importance: 'critical' | 'normal', share: number): void {
+  for (let call = 0; call < 100; call++) {
+    failures.record('venue', importance, call % 100 < share * 100);
+  }
+}
+
+test('trees whose calls mostly fail are not begun; more important ones are', () => {
+  const failures = new InnerFailures(new ManualClock());
+  for (let call = 0; call < 100; call++) failures.record('venue', 'normal', call % 2 === 0);
+  const level = failures.level('venue');
+  assert.ok(placeOf('normal', 'any caller') < level);
+  assert.ok(placeOf('high', 'any caller') >= level);
+  assert.equal(failures.level('other'), 0);
+});
+
+test('a few failures turn no tree away, and the most important trees are always tried', () => {
+  const failures = new InnerFailures(new ManualClock());
+  for (let call = 0; call < 100; call++) failures.record('venue', 'normal', call % 20 === 0);
+  assert.equal(failures.level('venue'), 0);
+  record(failures, 'critical', 1);
+  assert.equal(failures.level('venue'), 0);
+});
+
+test('trees are tried again after a while', async () => {
+  const clock = new ManualClock();
+  const failures = new InnerFailures(clock);
+  record(failures, 'normal', 1);
+  assert.ok(failures.level('venue') > 0);
+  await clock.advance(1600);
+  assert.equal(failures.level('venue'), 0);
+  failures.record('venue', 'normal', true);
+  assert.equal(failures.level('venue'), 0);
+});
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -11,6 +11,7 @@
 import type { RandomSource } from '../random.js';
 import { ResultCode, httpStatusOf, isNotRun } from '../resultCode.js';
 import type { RetryBudget } from '../retryBudget.js';
+import type { InnerFailures } from '../placement/innerFailures.js';
 import type { RouteLevels } from '../placement/routeLevels.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
@@ -52,6 +53,7 @@
   routing: RoutingKeeper;
   placement: TargetPlacement;
   levels: RouteLevels;
+  failures: InnerFailures;
   trees: RequestTrees;
   sender: HopSender;
   retryBudget: RetryBudget;
@@ -254,6 +256,9 @@
     const { service, arrivedAt, route } = passage;
     options.retryBudget.recordCall(service);
     const end = await makeAttempts(passage);
+    if (passage.isInner) {
+      options.failures.record(route.name, passage.importance, isNotRun(end.code));
+    }
     const answer = answerOf(passage, end);
     options.histograms.record({
       importance: passage.importance,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -232,6 +232,7 @@
 export type { RequestGateway } from './forwarding/requestGateway.js';
 export { retryAfterMs } from './forwarding/retryAfter.js';
 export { RequestTrees } from './forwarding/requestTrees.js';
+export { InnerFailures } from './placement/innerFailures.js';
 export { RouteLevels } from './placement/routeLevels.js';
 export { TargetPlacement } from './placement/targetPlacement.js';
 export { endToEndHeaders } from './endToEndHeaders.js';
--- a/packages/core/src/placement/routeLevels.ts
+++ b/packages/core/src/placement/routeLevels.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock.js';
+import type { InnerFailures } from './innerFailures.js';
 import type { CallerShedding } from '../callerShedding.js';
 import type { TargetDirectory } from '../directory/targetDirectory.js';
 import type { RequestTrees } from '../forwarding/requestTrees.js';
@@ -14,6 +15,7 @@
   directory: TargetDirectory;
   routing: RoutingKeeper;
   trees: RequestTrees;
+  failures: InnerFailures;
 }
 
 /**
@@ -50,7 +52,7 @@
   private highestBelow(route: string): number {
     let highest = 0;
     for (const child of this.options.trees.childrenOf(route)) {
-      highest = Math.max(highest, this.leastOf(child));
+      highest = Math.max(highest, this.leastOf(child), this.options.failures.level(child));
     }
     return highest;
   }
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -5,6 +5,7 @@
   HopClient,
   HopServer,
   HttpCallTransport,
+  InnerFailures,
   LocalTarget,
   PeerExchange,
   PeerServer,
@@ -130,7 +131,9 @@
   const methods = new PeerServer();
 
   const trees = new RequestTrees();
+  const failures = new InnerFailures(clock);
   const levels = new RouteLevels({
+    failures,
     clock,
     shedding: createCallerShedding(clock, random, ROUTE_LEVEL_MEMORY),
     directory,
@@ -212,6 +215,7 @@
     routing,
     placement,
     levels,
+    failures,
     trees,
     sender: createHopSender({
       client: hopClient,
