fix(daemon): spare retries are shared by the daemons that are known

They were divided by a fixed 16, which a larger fleet would overspend. One question at a time goes to daemons with a newer configuration; a request without an id is refused with 400.

--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -291,6 +291,9 @@
       const failure = createFailure(ResultCode.notRunNoTarget, 'no configuration is known yet');
       return refuse(request, failure, NO_CONFIGURATION_RETRY_MS);
     }
+    if (request.id === '') {
+      return refuse(request, createFailure(ResultCode.badHeader, 'the request carries no id'));
+    }
     const path = request.url.split('?', 1)[0] as string;
     const found = routing.match(request.host, path);
     if (!found) {
--- a/packages/core/src/retryBudget.ts
+++ b/packages/core/src/retryBudget.ts
@@ -20,9 +20,14 @@
   constructor(
     private readonly clock: Clock,
     private readonly ratio: number = RETRY_RATIO,
-    private readonly spare: number = SPARE_RETRIES,
+    private spare: number = SPARE_RETRIES,
   ) {}
 
+  /** Changes the retries that are allowed when there were few calls. */
+  setSpare(spare: number): void {
+    this.spare = spare;
+  }
+
   /** Counts a first attempt. */
   recordCall(service: string): void {
     this.countsOf(service).calls += 1;
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -64,11 +64,9 @@
 const USED_SLOT_SHARE = 0.95;
 /** Answers of a route come from each target only a few times a second. */
 const ROUTE_LEVEL_MEMORY = { freshMs: 800, forgetMs: 1500 };
-/** Daemons of the fleet that share the spare retries while the directory is empty. */
-const FIRST_FLEET_SIZE = 16;
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
 const BUDGET_SHARE = 0.7;
-const SWEEP_INTERVAL_MS = 5000;
+const SWEEP_INTERVAL_MS = 1000;
 const MS_PER_S = 1000;
 
 /** What a forwarding daemon is made from. */
@@ -106,6 +104,7 @@
   const supervisor = createSupervisor(options);
   let stopping = false;
   let storeReachable = false;
+  let isAsking = false;
   let recordVersion = 0;
 
   const routing = new RoutingKeeper(random, logger);
@@ -201,9 +200,25 @@
 
   /** Hears what another daemon knows; it told of a newer configuration. */
   function askPeer(address: string, port: number): void {
-    exchange.ask(address, port).catch((error: unknown) => {
-      logger.log('warn', 'exchange failed', { error: (error as Error).message });
-    });
+    // Every request tells of the newer version until it is in force; one question is enough.
+    if (isAsking) return;
+    isAsking = true;
+    exchange
+      .ask(address, port)
+      .catch((error: unknown) => {
+        logger.log('warn', 'exchange failed', { error: (error as Error).message });
+      })
+      .finally(() => {
+        isAsking = false;
+      });
+  }
+
+  const retryBudget = new RetryBudget(clock, settings.retry.ratio * BUDGET_SHARE, 0);
+
+  /** The fleet's spare retries are shared by the daemons that are known. */
+  function shareSpareRetries(): void {
+    const daemons = Math.max(1, directory.all().length);
+    retryBudget.setSpare((settings.retry.spare * BUDGET_SHARE) / daemons);
   }
 
   const gateway: RequestGateway = createRequestGateway({
@@ -224,11 +239,7 @@
       ownKey,
     }),
     peerPort: settings.listen.peerPort,
-    retryBudget: new RetryBudget(
-      clock,
-      settings.retry.ratio * BUDGET_SHARE,
-      (settings.retry.spare * BUDGET_SHARE) / FIRST_FLEET_SIZE,
-    ),
+    retryBudget,
     incarnation,
     ownService: () => settings.service,
     onPeerVersion: (_version, peer: KnownTarget) => {
@@ -357,6 +368,7 @@
   supervisor.runTask('sweep', async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
+      shareSpareRetries();
       placement.sweep();
       hopClient.sweep();
     }
