--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -340,6 +340,7 @@
     if (entry.modRevision > 0) directory.put(entry.key, entry.value);
     else if (entry.key === ownKey) announcer.forget();
     else directory.remove(entry.key);
+    shareSpareRetries();
   }
 
   methods.register(VOID_METHOD, async (params) => {
