--- a/packages/core/src/callerShedding.ts
+++ b/packages/core/src/callerShedding.ts
@@ -28,27 +28,15 @@
   learntAt: number;
 }
 
-/** How long levels are remembered. */
-export interface LevelMemory {
-  /** How long a level counts in full after the answer that brought it, in milliseconds. */
-  freshMs: number;
-  /** How long it takes to forget the highest level after that, in milliseconds. */
-  forgetMs: number;
-}
-
 /** Makes the caller's side of shedding. */
-export function createCallerShedding(
-  clock: Clock,
-  random: RandomSource,
-  memory: LevelMemory = { freshMs: FRESH_MS, forgetMs: FORGET_MS },
-): CallerShedding {
+export function createCallerShedding(clock: Clock, random: RandomSource): CallerShedding {
   const remembered = new Map<string, RememberedLevel>();
 
   function levelOf(target: string): number {
     const known = remembered.get(target);
     if (!known) return 0;
-    const staleMs = Math.max(0, clock.now() - known.learntAt - memory.freshMs);
-    const level = known.level - (PLACE_COUNT * staleMs) / memory.forgetMs;
+    const staleMs = Math.max(0, clock.now() - known.learntAt - FRESH_MS);
+    const level = known.level - (PLACE_COUNT * staleMs) / FORGET_MS;
     if (level > 0) return Math.floor(level);
     remembered.delete(target);
     return 0;
--- a/packages/core/src/placement/routeLevels.ts
+++ b/packages/core/src/placement/routeLevels.ts
@@ -1,19 +1,28 @@
 import type { Clock } from '../clock.js';
-import type { InnerFailures } from './innerFailures.js';
-import type { CallerShedding } from '../callerShedding.js';
-import type { TargetDirectory } from '../directory/targetDirectory.js';
 import type { RequestTrees } from '../forwarding/requestTrees.js';
-import type { RoutingKeeper } from '../routes/routingKeeper.js';
+import type { RandomSource } from '../random.js';
+import { PLACE_COUNT } from '../shedLevel.js';
+import type { InnerFailures } from './innerFailures.js';
 
+/** How long a level counts in full; answers of a route come a few times a second. */
+const FRESH_MS = 800;
+/** How long it takes to forget the highest level after that, in milliseconds. */
+const FORGET_MS = 1500;
+/** Share of the refused requests that is sent all the same, to hear of a new level. */
+const PROBE_SHARE = 0.01;
 /** Time for which the level below a route is kept, in milliseconds. */
 const CACHE_MS = 20;
 
+interface ToldLevel {
+  level: number;
+  /** When it was told, on the monotonic clock, in milliseconds. */
+  at: number;
+}
+
 /** What the levels are made from. */
 export interface RouteLevelsOptions {
   clock: Clock;
-  shedding: CallerShedding;
-  directory: TargetDirectory;
-  routing: RoutingKeeper;
+  random: RandomSource;
   trees: RequestTrees;
   failures: InnerFailures;
 }
@@ -24,21 +33,31 @@
  * and routes that need none of them go on.
  */
 export class RouteLevels {
+  /** Levels that targets told, by route and then by target. */
+  private readonly told = new Map<string, Map<string, ToldLevel>>();
+
   private readonly cache = new Map<string, { level: number; until: number }>();
 
   constructor(private readonly options: RouteLevelsOptions) {}
 
   /** Remembers the level that a target told for a route. */
   learn(route: string, targetKey: string, level: number): void {
-    this.options.shedding.learn(RouteLevels.nameOf(route, targetKey), level);
+    let targets = this.told.get(route);
+    if (!targets) {
+      targets = new Map();
+      this.told.set(route, targets);
+    }
+    targets.set(targetKey, { level, at: this.options.clock.now() });
   }
 
   /** True when a request at the root should not be sent to a target. */
   refuses(route: string, targetKey: string, place: number): boolean {
-    return this.options.shedding.refuses(RouteLevels.nameOf(route, targetKey), place);
+    const known = this.told.get(route)?.get(targetKey);
+    if (!known || place >= this.levelNow(known)) return false;
+    return this.options.random.next() >= PROBE_SHARE;
   }
 
-  /** Level below a route; worked out anew after a short time. */
+  /** Level that the calls of a route's requests must pass; worked out anew after a short time. */
   below(route: string): number {
     const now = this.options.clock.now();
     const cached = this.cache.get(route);
@@ -48,7 +67,17 @@
     return level;
   }
 
-  /** Level that the calls of a route's requests must pass; each service at its least target. */
+  /** Forgets targets that have told nothing for long. */
+  sweep(): void {
+    const oldest = this.options.clock.now() - FRESH_MS - FORGET_MS;
+    this.told.forEach((targets, route) => {
+      targets.forEach(({ at }, key) => {
+        if (at < oldest) targets.delete(key);
+      });
+      if (targets.size === 0) this.told.delete(route);
+    });
+  }
+
   private highestBelow(route: string): number {
     let highest = 0;
     for (const child of this.options.trees.childrenOf(route)) {
@@ -57,19 +86,17 @@
     return highest;
   }
 
-  private leastOf(name: string): number {
-    const { directory, routing, shedding } = this.options;
-    const route = routing.named(name);
-    if (!route) return 0;
-    const targets = route.shares
-      .filter(({ weight }) => weight > 0)
-      .flatMap(({ service }) => directory.of(service))
-      .filter(({ record }) => record.state === 'ready')
-      .map(({ key }) => RouteLevels.nameOf(name, key));
-    return shedding.leastLevelOf(targets);
+  /** Least level among the targets that told one of late; what others would tell is not known. */
+  private leastOf(route: string): number {
+    const told = [...(this.told.get(route)?.values() ?? [])];
+    const oldest = this.options.clock.now() - FRESH_MS;
+    const fresh = told.filter(({ at }) => at >= oldest);
+    const levels = (fresh.length > 0 ? fresh : told).map((known) => this.levelNow(known));
+    return levels.length === 0 ? 0 : Math.min(...levels);
   }
 
-  private static nameOf(route: string, targetKey: string): string {
-    return `${route}@${targetKey}`;
+  private levelNow({ level, at }: ToldLevel): number {
+    const staleMs = Math.max(0, this.options.clock.now() - at - FRESH_MS);
+    return Math.max(0, Math.floor(level - (PLACE_COUNT * staleMs) / FORGET_MS));
   }
 }
--- a/packages/core/src/routes/routingKeeper.ts
+++ b/packages/core/src/routes/routingKeeper.ts
@@ -13,8 +13,6 @@
 
   private table = new RouteTable([]);
 
-  private names = new Map<string, Route>();
-
   private splits = new Map<Route, WeightedSplit>();
 
   private readonly listeners: ((configuration: RoutingConfiguration) => void)[] = [];
@@ -45,7 +43,6 @@
     if (configuration.version <= before) return;
     this.configuration = configuration;
     this.table = new RouteTable(configuration.routes);
-    this.names = new Map(configuration.routes.map((route) => [route.name, route]));
     this.splits = new Map();
     this.logger.log('info', 'configuration in force', {
       version: configuration.version,
@@ -61,11 +58,6 @@
     return this.table.match(host, path);
   }
 
-  /** The route of this name. */
-  named(name: string): Route | undefined {
-    return this.names.get(name);
-  }
-
   /** Service that takes the next request of a route. */
   serviceFor(route: Route): string | undefined {
     let split = this.splits.get(route);
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -22,7 +22,6 @@
   closeHttp,
   metricsText,
   createAdmission,
-  createCallerShedding,
   createHistograms,
   createHopSender,
   createRequestGateway,
@@ -62,8 +61,6 @@
 const STOP_POLL_MS = 25;
 /** Share of the slots that is used; some targets slow down when they are nearly full. */
 const USED_SLOT_SHARE = 0.95;
-/** Answers of a route come from each target only a few times a second. */
-const ROUTE_LEVEL_MEMORY = { freshMs: 800, forgetMs: 1500 };
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
 const BUDGET_SHARE = 0.7;
 const SWEEP_INTERVAL_MS = 1000;
@@ -131,14 +128,7 @@
 
   const trees = new RequestTrees();
   const failures = new InnerFailures(clock);
-  const levels = new RouteLevels({
-    failures,
-    clock,
-    shedding: createCallerShedding(clock, random, ROUTE_LEVEL_MEMORY),
-    directory,
-    routing,
-    trees,
-  });
+  const levels = new RouteLevels({ clock, random, trees, failures });
   const guard: TargetGuard = createTargetGuard({
     clock,
     logger,
@@ -371,6 +361,7 @@
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
       shareSpareRetries();
       placement.sweep();
+      levels.sweep();
       hopClient.sweep();
     }
   });
