--- /dev/null
+++ b/packages/daemon/src/forwardingKnowledge.ts
@@ -0,0 +1,117 @@
+import { v7 as uuidv7 } from 'uuid';
+import {
+  Counters,
+  HopClient,
+  HttpCallTransport,
+  InnerFailures,
+  LocalTarget,
+  PeerServer,
+  RequestTrees,
+  RetryBudget,
+  RouteLevels,
+  RoutingKeeper,
+  RpcPeerCaller,
+  TARGETS_PREFIX,
+  TargetDirectory,
+  TargetPlacement,
+  createAdmission,
+  createHistograms,
+} from '@shallotcroft/core';
+import type { Admission, Clock, Histograms, Logger, RandomSource } from '@shallotcroft/core';
+import type { FleetPlatform } from './fleetPlatform.js';
+import type { ForwardingSettings } from './forwardingSettings.js';
+
+/** Connections to the target beside this daemon; more than it has slots. */
+const TARGET_CONNECTIONS = 512;
+/** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
+const BUDGET_SHARE = 0.7;
+
+/** What the parts of a forwarding daemon are made from. */
+export interface ForwardingOptions {
+  settings: ForwardingSettings;
+  platform: FleetPlatform;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+}
+
+/** What the parts of one daemon must know of it, and what changes while it runs. */
+export interface DaemonState {
+  /** Id of this run. */
+  readonly incarnation: string;
+  /** Key of the record of this daemon's target. */
+  readonly ownKey: string;
+  /** True once the daemon takes no more requests for its target. */
+  isStopping: boolean;
+  isStoreReachable: boolean;
+}
+
+/** What is known of the fleet and of the requests under way. */
+export interface ForwardingKnowledge {
+  state: DaemonState;
+  routing: RoutingKeeper;
+  directory: TargetDirectory;
+  target: LocalTarget;
+  trees: RequestTrees;
+  failures: InnerFailures;
+  levels: RouteLevels;
+  placement: TargetPlacement;
+  retryBudget: RetryBudget;
+  /** Retries that the whole fleet may make besides its share of the requests. */
+  spareRetries: number;
+  admission: Admission;
+  histograms: Histograms;
+  counters: Counters;
+  peers: RpcPeerCaller;
+  methods: PeerServer;
+  hopClient: HopClient;
+  targetTransport: HttpCallTransport;
+}
+
+/** Makes what is known, of which nothing is known yet. */
+export function createKnowledge(options: ForwardingOptions): ForwardingKnowledge {
+  const { settings, platform, clock, random, logger } = options;
+  const incarnation = uuidv7();
+  const directory = new TargetDirectory(clock, logger);
+  const trees = new RequestTrees();
+  const failures = new InnerFailures(clock);
+  return {
+    state: {
+      incarnation,
+      ownKey: `${TARGETS_PREFIX}${settings.host}`,
+      isStopping: false,
+      isStoreReachable: false,
+    },
+    routing: new RoutingKeeper(random, logger),
+    directory,
+    target: new LocalTarget(clock, logger),
+    trees,
+    failures,
+    levels: new RouteLevels({ clock, random, trees, failures }),
+    placement: new TargetPlacement({
+      clock,
+      random,
+      directory,
+      dataCentre: settings.dataCentre,
+    }),
+    retryBudget: new RetryBudget(clock, settings.retry.ratio * BUDGET_SHARE, 0),
+    spareRetries: settings.retry.spare * BUDGET_SHARE,
+    admission: createAdmission({
+      clock,
+      settings: { limit: 'fixed', slots: 1, objective: 'goodput' },
+    }),
+    histograms: createHistograms(),
+    counters: new Counters(),
+    peers: new RpcPeerCaller(),
+    methods: new PeerServer(),
+    hopClient: new HopClient(clock),
+    targetTransport: new HttpCallTransport({
+      clock,
+      incarnation,
+      echoRequired: true,
+      idHeader: platform.dialect.idHeader,
+      closeDelimited: true,
+      connections: { connections: TARGET_CONNECTIONS },
+    }),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/forwardingParts.ts
@@ -0,0 +1,91 @@
+import {
+  AttemptRegister,
+  VOID_METHOD,
+  createHopSender,
+  createRequestGateway,
+  createTargetGuard,
+} from '@shallotcroft/core';
+import type { KnownTarget, RequestGateway, TargetGuard, VoidParams } from '@shallotcroft/core';
+import { createFleetNews } from './fleetNews.js';
+import type { FleetNews } from './fleetNews.js';
+import { createKnowledge } from './forwardingKnowledge.js';
+import type { ForwardingKnowledge, ForwardingOptions } from './forwardingKnowledge.js';
+
+/** Share of the slots that is used; some targets slow down when they are nearly full. */
+const USED_SLOT_SHARE = 0.95;
+
+/** The parts of a forwarding daemon, without listeners. */
+export interface ForwardingParts extends ForwardingKnowledge {
+  news: FleetNews;
+  guard: TargetGuard;
+  gateway: RequestGateway;
+}
+
+function createGuardPart(options: ForwardingOptions, known: ForwardingKnowledge): TargetGuard {
+  const { state, methods, routing } = known;
+  const attempts = new AttemptRegister(options.clock);
+  methods.register(VOID_METHOD, async (params) => {
+    const { attemptId, incarnation } = params as VoidParams;
+    return incarnation === state.incarnation ? attempts.void(attemptId) : 'unknown';
+  });
+  return createTargetGuard({
+    ...known,
+    clock: options.clock,
+    logger: options.logger,
+    transport: known.targetTransport,
+    dialect: options.platform.dialect,
+    attempts,
+    endpoint: options.settings.target,
+    incarnation: state.incarnation,
+    isStopping: () => state.isStopping,
+    configurationVersion: () => routing.version(),
+  });
+}
+
+function createGatewayPart(
+  options: ForwardingOptions,
+  known: ForwardingKnowledge,
+  guard: TargetGuard,
+  news: FleetNews,
+): RequestGateway {
+  const { settings, clock, random, logger } = options;
+  const { state, hopClient, peers } = known;
+  return createRequestGateway({
+    ...known,
+    clock,
+    random,
+    logger,
+    sender: createHopSender({ client: hopClient, peers, guard, ownKey: state.ownKey }),
+    peerPort: settings.listen.peerPort,
+    incarnation: state.incarnation,
+    ownService: () => settings.service,
+    onPeerVersion: (_version, { record }: KnownTarget) => {
+      news.askPeer(record.address, record.peerPort);
+    },
+  });
+}
+
+/** Admits as much as the target beside this daemon takes, and tells the fleet how it is. */
+function followTarget({ target, admission, news }: ForwardingKnowledge & { news: FleetNews }) {
+  target.onChange(() => {
+    const local = target.current();
+    if (local) {
+      const slots = Math.max(1, Math.floor(local.slots * USED_SLOT_SHARE));
+      admission.reconfigure({ limit: 'fixed', slots, objective: 'goodput' });
+    }
+    news.announce();
+  });
+}
+
+/** Makes the parts of a forwarding daemon; nothing runs until it is started. */
+export function createForwardingParts(options: ForwardingOptions): ForwardingParts {
+  const known = createKnowledge(options);
+  const news = createFleetNews({ ...options, known });
+  const guard = createGuardPart(options, known);
+  const gateway = createGatewayPart(options, known, guard, news);
+  followTarget({ ...known, news });
+  known.routing.onChange(({ routes }) => {
+    known.trees.keepRoutes(new Set(routes.map(({ name }) => name)));
+  });
+  return { ...known, news, guard, gateway };
+}
