--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -13,7 +13,7 @@
 import { MessageStream } from './messageStream.js';
 
 /** Longest wait for a new connection, in milliseconds; hosts of a region answer in a few. */
-const CONNECT_TIMEOUT_MS = 500;
+const CONNECT_TIMEOUT_MS = 300;
 /** How often a connection with requests under way is tested, in milliseconds. */
 const PING_INTERVAL_MS = 300;
 /** Silence after which a connection with requests under way is given up, in milliseconds. */
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -31,6 +31,8 @@
 const RETRY_SHARES: Record<Importance, number> = { critical: 1, high: 0.5, normal: 0.2, low: 0.2 };
 /** Wait that a daemon without a configuration tells its callers, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** Wait that a closing daemon tells its callers, in milliseconds; another one answers. */
+const CLOSING_RETRY_MS = 50;
 /** A further attempt needs at least this much time, in milliseconds. */
 const MIN_ATTEMPT_MS = 20;
 const MS_PER_S = 1000;
@@ -63,6 +65,8 @@
   incarnation: string;
   /** Service that runs on this host. */
   ownService: () => string;
+  /** True once nothing new is begun; calls of trees that have begun go on. */
+  isClosing: () => boolean;
   /** Called with the version that another daemon has in force. */
   onPeerVersion: (version: number, target: KnownTarget) => void;
 }
@@ -306,6 +310,10 @@
       return refuse(request, createFailure(ResultCode.notRunNoTarget, message));
     }
     const tree = options.trees.join(request.parentId, found.name);
+    if (!tree && options.isClosing()) {
+      const failure = createFailure(ResultCode.notRunDraining, 'the daemon stops; send it again');
+      return refuse(request, failure, CLOSING_RETRY_MS);
+    }
     return pass(new Passage(request, found, service, signal, clock.now(), tree));
   }
 
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -9,9 +9,11 @@
 /** Two readiness checks a second apart, and the time in which callers learn, in milliseconds. */
 const LEAVE_NOTICE_MS = 2600;
 /** Part of the stop timeout that is kept for ending the process, in milliseconds. */
-const STOP_RESERVE_MS = 1200;
+const STOP_RESERVE_MS = 900;
 /** Longest wait for connections to end, in milliseconds. */
-const CLOSE_TIMEOUT_MS = 300;
+const CLOSE_TIMEOUT_MS = 250;
+/** Time after which a stopping daemon begins nothing new, so that all can end, in milliseconds. */
+const LAST_BEGIN_MS = 2900;
 const STOP_POLL_MS = 25;
 const SWEEP_INTERVAL_MS = 1000;
 const MS_PER_S = 1000;
@@ -89,7 +91,11 @@
     state.isStopping = true;
     logger.log('info', 'daemon stops', { requests: gateway.active(), hops: guard.active() });
     news.announce();
+    const lastBegin = options.clock.startTimer(LAST_BEGIN_MS, () => {
+      state.isClosing = true;
+    });
     await finishRequests(options, parts);
+    lastBegin.cancel();
     watches.forEach((watch) => watch.close());
     await closeAll(options, parts, listeners, supervisor);
     logger.log('info', 'daemon stopped', { requests: gateway.active(), hops: guard.active() });
--- a/packages/daemon/src/forwardingKnowledge.ts
+++ b/packages/daemon/src/forwardingKnowledge.ts
@@ -43,6 +43,8 @@
   readonly ownKey: string;
   /** True once the daemon takes no more requests for its target. */
   isStopping: boolean;
+  /** True once the daemon begins no more requests of callers. */
+  isClosing: boolean;
   isStoreReachable: boolean;
 }
 
@@ -80,6 +82,7 @@
       incarnation,
       ownKey: `${TARGETS_PREFIX}${settings.host}`,
       isStopping: false,
+      isClosing: false,
       isStoreReachable: false,
     },
     routing: new RoutingKeeper(random, logger),
--- a/packages/daemon/src/forwardingParts.ts
+++ b/packages/daemon/src/forwardingParts.ts
@@ -59,6 +59,7 @@
     peerPort: settings.listen.peerPort,
     incarnation: state.incarnation,
     ownService: () => settings.service,
+    isClosing: () => state.isClosing,
     onPeerVersion: (_version, { record }: KnownTarget) => {
       news.askPeer(record.address, record.peerPort);
     },
