--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -24,6 +24,9 @@
 
 /** Daemons that may be asked for one request; refusals by a daemon cost its target nothing. */
 const MAX_HOPS = 8;
+/** Daemons that are asked when they shed the request; more for a tree that has begun. */
+const MAX_SHED_HOPS = 2;
+const MAX_INNER_SHED_HOPS = 3;
 /**
  * Part of the retry budget that requests of each importance may use. A service that refuses half
  * of what comes serves trees of several calls only where most of the budget goes to few of them.
@@ -186,6 +189,10 @@
       return isRepeated && levels.below(passage.route.name) === 0 && takeRepeat(passage);
     }
     if (!isNotRun(end.code) && !repeatable) return false;
+    if (end.code === ResultCode.notRunShed || end.code === ResultCode.notRunQueueTimeout) {
+      // Overload is seldom that of one target: asking them all would add to it.
+      return passage.hops < (passage.isInner ? MAX_INNER_SHED_HOPS : MAX_SHED_HOPS);
+    }
     return !end.reached || takeRepeat(passage);
   }
 
@@ -211,20 +218,23 @@
     };
   }
 
+  /** The end of the last attempt, or a target's answer to an earlier one where that got none. */
   async function makeAttempts(passage: Passage): Promise<AttemptEnd> {
     let last = whyNoTarget(passage);
+    let answered: AttemptEnd | undefined;
     for (;;) {
       let target = chooseTarget(passage);
       if (!target && last.reached && isNotRun(last.code)) {
         passage.startAnotherRound();
         target = chooseTarget(passage);
       }
-      if (!target) return last;
+      if (!target) return answered ?? last;
       passage.recordHop(target.key);
       last = await attempt(passage, target);
       passage.recordEnd(last);
+      if (last.answer) answered = last;
       if (last.answer && last.answer.status < 500) return last;
-      if (!mayGoOn(passage, last)) return last;
+      if (!mayGoOn(passage, last)) return answered ?? last;
     }
   }
 
