--- a/packages/core/src/__tests__/peerExchange.spec.ts
+++ b/packages/core/src/__tests__/peerExchange.spec.ts
@@ -89,12 +89,12 @@
   const { directory } = createDaemon('host');
   directory.setStoreReachable(true);
   directory.learn('held', recordOf('held', 5));
-  directory.hearFromPeer('held', recordOf('held', 4));
+  directory.learnFromPeer('held', recordOf('held', 4));
   assert.equal(directory.of('books')[0]?.record.version, 5);
   assert.equal(directory.of('books')[0]?.lapsedAt, undefined);
-  directory.hearFromPeer('told', recordOf('told'));
+  directory.learnFromPeer('told', recordOf('told'));
   await clock.advance(2000);
-  directory.hearFromPeer('told', recordOf('told'));
+  directory.learnFromPeer('told', recordOf('told'));
   await clock.advance(2000);
   assert.equal(directory.of('books').length, 2);
   await clock.advance(1000);
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -100,28 +100,28 @@
 
 test('a target that said it drains is not ready again by a late heartbeat', () => {
   const target = createLocalTarget();
-  target.hear({ ...beat, sequence: 4 });
-  target.hear({ ...beat, state: 'draining', sequence: 6 });
-  assert.equal(target.hear({ ...beat, sequence: 5 }), false);
-  target.hear({ ...beat, sequence: 7 });
+  target.receive({ ...beat, sequence: 4 });
+  target.receive({ ...beat, state: 'draining', sequence: 6 });
+  assert.equal(target.receive({ ...beat, sequence: 5 }), false);
+  target.receive({ ...beat, sequence: 7 });
   assert.equal(target.current()?.state, 'draining');
   assert.equal(target.isReady(), false);
 });
 
 test('a heartbeat of a former life changes nothing; a later life under the same id counts', () => {
   const target = createLocalTarget();
-  target.hear({ ...beat, targetId: 'i-2', startedAt: 200 });
-  assert.equal(target.hear({ ...beat, sequence: 90 }), false);
+  target.receive({ ...beat, targetId: 'i-2', startedAt: 200 });
+  assert.equal(target.receive({ ...beat, sequence: 90 }), false);
   assert.equal(target.current()?.targetId, 'i-2');
-  assert.equal(target.hear({ ...beat, targetId: 'i-2', startedAt: 300 }), true);
+  assert.equal(target.receive({ ...beat, targetId: 'i-2', startedAt: 300 }), true);
   assert.equal(target.current()?.startedAt, 300);
 });
 
 test('a target that has left is not brought back by its own late heartbeat', () => {
   const target = createLocalTarget();
-  target.hear({ ...beat, sequence: 4 });
+  target.receive({ ...beat, sequence: 4 });
   target.leave('i-1');
-  target.hear({ ...beat, sequence: 5 });
+  target.receive({ ...beat, sequence: 5 });
   assert.equal(target.isReady(), false);
   target.leave('i-unknown');
   assert.equal(target.current()?.state, 'gone');
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -4,7 +4,7 @@
 /** What a target says of itself. */
 export interface TargetHeartbeat {
   targetId: string;
-  /** Unix time of its start, in milliseconds; tells lives under the same id apart. */
+  /** Unix time of its start, in milliseconds; distinguishes restarts under the same id. */
   startedAt: number;
   service: string;
   dataCentre: string;
@@ -16,7 +16,7 @@
   sequence: number;
 }
 
-/** The target beside this daemon, as its heartbeats tell. */
+/** The target beside this daemon, as its heartbeats report it. */
 export interface LocalTargetState extends Omit<TargetHeartbeat, 'coldRemainingMs' | 'state'> {
   state: 'ready' | 'draining' | 'gone';
   /** Unix time until which it is slow, in milliseconds. */
@@ -55,7 +55,7 @@
   }
 
   /** Takes in a heartbeat; false when it belongs to the past. */
-  hear(beat: TargetHeartbeat): boolean {
+  receive(beat: TargetHeartbeat): boolean {
     if (this.isOld(beat.targetId, beat.startedAt, beat.sequence)) {
       this.logger.log('info', 'late heartbeat ignored', {
         target: beat.targetId,
@@ -76,7 +76,7 @@
     // Leaving is final: a life that drains does not become ready again.
     const state = isSameLife && before.state !== 'ready' ? before.state : beat.state;
     this.state = { ...rest, state, warmAt };
-    if (!isSameLife || before.state !== state) this.tell(before?.state);
+    if (!isSameLife || before.state !== state) this.notify(before?.state);
     return true;
   }
 
@@ -89,7 +89,7 @@
     if (this.state.state === 'gone') return;
     const before = this.state.state;
     this.state = { ...this.state, state: 'gone' };
-    this.tell(before);
+    this.notify(before);
   }
 
   private isOld(targetId: string, startedAt: number, sequence: number): boolean {
@@ -99,7 +99,7 @@
     return targetId === known.targetId && sequence < known.sequence;
   }
 
-  private tell(before: string | undefined): void {
+  private notify(before: string | undefined): void {
     const { state } = this;
     this.logger.log('info', 'target beside this daemon changed', {
       target: state?.targetId,
--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -8,7 +8,7 @@
 import type { TargetRecord } from './targetRecord.js';
 import type { KnownTarget, TargetDirectory } from './targetDirectory.js';
 
-/** Control method by which daemons tell each other what the store would. */
+/** Control method that exchanges configuration and target records between daemons. */
 export const EXCHANGE_METHOD = 'fleet.exchange';
 
 /** How often a daemon asks others while the store does not answer, in milliseconds. */
@@ -48,7 +48,7 @@
 }
 
 /**
- * Keeps a daemon that the store refuses in touch: it tells other daemons of its target, and hears
+ * Keeps a daemon that the store refuses up to date: it sends its record to other daemons, and learns
  * from them of newer configurations and other targets.
  */
 export class PeerExchange {
@@ -87,7 +87,7 @@
     }
     const { configuration, records } = asked.value;
     if (configuration) routing.offer(configuration, 'peer');
-    records.forEach((told) => directory.hearFromPeer(told.key, told.record));
+    records.forEach(({ key, record: known }) => directory.learnFromPeer(key, known));
   }
 
   private async askSome(): Promise<void> {
@@ -104,7 +104,7 @@
   private answer({ version, own }: ExchangeParams): ExchangeAnswer {
     const { directory, routing } = this.options;
     const record = own && parseTargetRecord(JSON.stringify(own.record));
-    if (own && record) directory.hearFromPeer(own.key, record);
+    if (own && record) directory.learnFromPeer(own.key, record);
     const current = routing.current();
     return {
       configuration: current && current.version > version ? current : undefined,
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -16,7 +16,7 @@
   store: Store;
   clock: Clock;
   logger: Logger;
-  /** What the fleet is to know now; undefined while there is nothing to tell. */
+  /** The record to publish; undefined while no target is known. */
   record: () => TargetRecord | undefined;
 }
 
@@ -37,7 +37,7 @@
     this.wake?.();
   }
 
-  /** The store told that it holds no record of this daemon any more. */
+  /** The record was deleted from the store; it is written again. */
   forget(): void {
     this.written = '';
     this.revision = undefined;
--- a/packages/core/src/directory/targetDirectory.ts
+++ b/packages/core/src/directory/targetDirectory.ts
@@ -16,7 +16,7 @@
 export interface KnownTarget {
   key: string;
   record: TargetRecord;
-  /** When the record was last told, on the monotonic clock, in milliseconds. */
+  /** When the record was last received, on the monotonic clock, in milliseconds. */
   heardAt: number;
   /** When its lease lapsed; undefined while the store holds it. */
   lapsedAt: number | undefined;
@@ -57,7 +57,7 @@
     return [...this.targets.values()];
   }
 
-  /** Tells whether the store answers; lapsed records are kept while it does not. */
+  /** Sets whether the store answers; lapsed records are kept while it does not. */
   setStoreReachable(reachable: boolean): void {
     if (!reachable) this.storeReachableSince = undefined;
     else this.storeReachableSince ??= this.clock.now();
@@ -90,10 +90,10 @@
   }
 
   /**
-   * Another daemon tells of a record that the store may not hold: it is used like one that has
-   * just lapsed, until it is told again.
+   * A record from another daemon that the store may not hold: it is used like one that has just
+   * lapsed, until it is received again.
    */
-  hearFromPeer(key: string, record: TargetRecord): void {
+  learnFromPeer(key: string, record: TargetRecord): void {
     const known = this.targets.get(key);
     if (known && known.lapsedAt === undefined && !isNewer(record, known.record)) return;
     this.learn(key, record);
--- a/packages/core/src/directory/targetRecord.ts
+++ b/packages/core/src/directory/targetRecord.ts
@@ -21,7 +21,7 @@
   version: z.int(),
 });
 
-/** What a daemon tells the fleet of the target beside it. */
+/** What a daemon publishes about the target beside it. */
 export type TargetRecord = z.infer<typeof recordSchema>;
 
 /** Reads a record from the store; undefined when it is not one. */
--- a/packages/core/src/placement/routeLevels.ts
+++ b/packages/core/src/placement/routeLevels.ts
@@ -13,9 +13,9 @@
 /** Time for which the level below a route is kept, in milliseconds. */
 const CACHE_MS = 20;
 
-interface ToldLevel {
+interface ReportedLevel {
   level: number;
-  /** When it was told, on the monotonic clock, in milliseconds. */
+  /** When it was reported, on the monotonic clock, in milliseconds. */
   at: number;
 }
 
@@ -33,26 +33,26 @@
  * and routes that need none of them go on.
  */
 export class RouteLevels {
-  /** Levels that targets told, by route and then by target. */
-  private readonly told = new Map<string, Map<string, ToldLevel>>();
+  /** Levels that targets reported, by route and then by target. */
+  private readonly reported = new Map<string, Map<string, ReportedLevel>>();
 
   private readonly cache = new Map<string, { level: number; until: number }>();
 
   constructor(private readonly options: RouteLevelsOptions) {}
 
-  /** Remembers the level that a target told for a route. */
+  /** Remembers the level that a target reported for a route. */
   learn(route: string, targetKey: string, level: number): void {
-    let targets = this.told.get(route);
+    let targets = this.reported.get(route);
     if (!targets) {
       targets = new Map();
-      this.told.set(route, targets);
+      this.reported.set(route, targets);
     }
     targets.set(targetKey, { level, at: this.options.clock.now() });
   }
 
   /** True when a request at the root should not be sent to a target. */
   refuses(route: string, targetKey: string, place: number): boolean {
-    const known = this.told.get(route)?.get(targetKey);
+    const known = this.reported.get(route)?.get(targetKey);
     if (!known || place >= this.levelNow(known)) return false;
     return this.options.random.next() >= PROBE_SHARE;
   }
@@ -67,14 +67,14 @@
     return level;
   }
 
-  /** Forgets targets that have told nothing for long. */
+  /** Forgets targets that have reported nothing for long. */
   sweep(): void {
     const oldest = this.options.clock.now() - FRESH_MS - FORGET_MS;
-    this.told.forEach((targets, route) => {
+    this.reported.forEach((targets, route) => {
       targets.forEach(({ at }, key) => {
         if (at < oldest) targets.delete(key);
       });
-      if (targets.size === 0) this.told.delete(route);
+      if (targets.size === 0) this.reported.delete(route);
     });
   }
 
@@ -86,16 +86,16 @@
     return highest;
   }
 
-  /** Least level among the targets that told one of late; what others would tell is not known. */
+  /** Least of the recently reported levels; targets that reported none say nothing about the load. */
   private leastOf(route: string): number {
-    const told = [...(this.told.get(route)?.values() ?? [])];
+    const reported = [...(this.reported.get(route)?.values() ?? [])];
     const oldest = this.options.clock.now() - FRESH_MS;
-    const fresh = told.filter(({ at }) => at >= oldest);
-    const levels = (fresh.length > 0 ? fresh : told).map((known) => this.levelNow(known));
+    const fresh = reported.filter(({ at }) => at >= oldest);
+    const levels = (fresh.length > 0 ? fresh : reported).map((known) => this.levelNow(known));
     return levels.length === 0 ? 0 : Math.min(...levels);
   }
 
-  private levelNow({ level, at }: ToldLevel): number {
+  private levelNow({ level, at }: ReportedLevel): number {
     const staleMs = Math.max(0, this.options.clock.now() - at - FRESH_MS);
     return Math.max(0, Math.floor(level - (PLACE_COUNT * staleMs) / FORGET_MS));
   }
