--- a/packages/core/src/__tests__/targetAdmission.spec.ts
+++ b/packages/core/src/__tests__/targetAdmission.spec.ts
@@ -154,3 +154,15 @@
   await Promise.all(entered);
   assert.deepEqual(order.slice(0, 3), ['fourth refused', 'inner admitted', 'root admitted']);
 });
+
+test('a short call is judged by what it needs, not by the long calls beside it', async () => {
+  const clock = new ManualClock();
+  const admission = createAdmission({ clock, settings: { ...settings, slots: 4 } });
+  const long = (await admission.enter(requestOf())).unwrap();
+  await clock.advance(800);
+  long.release('completed');
+  const deadlineAt = clock.now() + 300;
+  assert.equal(codeOf(await admission.enter(requestOf({ deadlineAt }))), ResultCode.notRunDeadline);
+  const short = await admission.enter(requestOf({ deadlineAt, neededMs: 10 }));
+  assert.equal(codeOf(short), ResultCode.ok);
+});
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -11,6 +11,11 @@
   deadlineAt: number;
   /** Aborted when the caller has gone. */
   signal: AbortSignal;
+  /**
+   * Least time that the call is worth beginning for, in milliseconds. Absent, it follows the mean
+   * of all calls, which misjudges the short ones of a target that takes calls of several kinds.
+   */
+  neededMs?: number;
   /** True for a call of a tree that has begun: it goes before all that has not. */
   isInner?: boolean;
   /** Level of the services that this call will need; below it the call is not begun. */
--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -18,6 +18,8 @@
 
 /** Weight of the newest sample in the mean time at the target. */
 const SERVICE_MEAN_WEIGHT = 0.05;
+/** Share of its route's mean time below which a request has too little time left to begin. */
+const USEFUL_TIME_SHARE = 0.5;
 /** Mean time at the target before the first sample, in milliseconds. */
 const INITIAL_SERVICE_MS = 50;
 /** Answers larger than this are not held, in bytes. */
@@ -76,6 +78,8 @@
   const { clock, admission, dialect, attempts, target, logger } = options;
   let active = 0;
   let serviceMs = INITIAL_SERVICE_MS;
+  /** Mean time at the target by route, in milliseconds. */
+  const routeMs = new Map<string, number>();
 
   function load(): TargetLoad {
     return { ...admission.load(), serviceMs };
@@ -139,7 +143,10 @@
     );
     const reached = sent.isOk() || sent.error.code >= ResultCode.unknownTimeout;
     if (sent.isErr()) return { result: sent, reached };
-    serviceMs += SERVICE_MEAN_WEIGHT * (clock.now() - startedAt - serviceMs);
+    const tookMs = clock.now() - startedAt;
+    serviceMs += SERVICE_MEAN_WEIGHT * (tookMs - serviceMs);
+    const mean = routeMs.get(request.route) ?? tookMs;
+    routeMs.set(request.route, mean + SERVICE_MEAN_WEIGHT * (tookMs - mean));
     return { result: judge(sent.value), reached };
   }
 
@@ -157,6 +164,7 @@
       deadlineAt,
       signal,
       isInner: request.isInner,
+      neededMs: USEFUL_TIME_SHARE * (routeMs.get(request.route) ?? 0),
       levelBelow: () => (request.isInner ? 0 : options.levels.below(request.route)),
     });
     if (permit.isErr()) {
--- a/packages/core/src/targetAdmission.ts
+++ b/packages/core/src/targetAdmission.ts
@@ -55,8 +55,15 @@
 /** Steps that are caught up with at most after a quiet time. */
 const MAX_STEPS_BEHIND = 50;
 
+/** A call with what bounds the time of its start. */
+interface TimedCall {
+  deadlineAt: number;
+  neededMs?: number | undefined;
+}
+
 interface WaitingCall extends Waiter {
   enteredAt: number;
+  neededMs: number | undefined;
   levelBelow: () => number;
   settle(result: Result<Permit, Failure>): void;
 }
@@ -155,18 +162,19 @@
   private refuseAtOnce(request: AdmissionRequest, place: number): Err<Failure> | undefined {
     if (this.closed) return refusal(ResultCode.notRunDraining);
     if (request.signal.aborted) return refusal(ResultCode.notRunCancelled);
-    if (this.isTooLate(request.deadlineAt)) return refusal(ResultCode.notRunDeadline);
+    if (this.isTooLate(request)) return refusal(ResultCode.notRunDeadline);
     if (place < (request.levelBelow?.() ?? 0)) return refusal(ResultCode.notRunShed);
     return undefined;
   }
 
-  private isTooLate(deadlineAt: number): boolean {
-    return this.clock.now() >= this.latestStart(deadlineAt);
+  private isTooLate(call: TimedCall): boolean {
+    return this.clock.now() >= this.latestStart(call);
   }
 
   /** Past this time the answer could not reach the caller before its deadline. */
-  private latestStart(deadlineAt: number): number {
+  private latestStart({ deadlineAt, neededMs }: TimedCall): number {
     if (this.settings.limit === 'none') return deadlineAt;
+    if (neededMs !== undefined) return deadlineAt - neededMs;
     return deadlineAt - HEADROOM * this.expected.at(this.clock.now());
   }
 
@@ -185,13 +193,14 @@
     place: number,
     resolve: (result: Result<Permit, Failure>) => void,
   ): WaitingCall {
-    const { deadlineAt, signal } = request;
+    const { deadlineAt, neededMs, signal } = request;
     const enteredAt = this.clock.now();
     const watch = new AbortController();
     const call: WaitingCall = {
       // Work was done for a call of a tree that has begun; it would be lost with the call.
       place: request.isInner ? place + PLACE_COUNT : place,
       deadlineAt,
+      neededMs,
       enteredAt,
       levelBelow: request.levelBelow ?? (() => 0),
       settle: (result) => {
@@ -199,15 +208,15 @@
         resolve(result);
       },
     };
-    const timer = this.clock.startTimer(this.longestWait(deadlineAt), () => this.giveUp(call));
+    const timer = this.clock.startTimer(this.longestWait(call), () => this.giveUp(call));
     watch.signal.addEventListener('abort', () => timer.cancel());
     signal.addEventListener('abort', () => this.leave(call), { signal: watch.signal });
     return call;
   }
 
-  private longestWait(deadlineAt: number): number {
+  private longestWait(call: TimedCall): number {
     const { maxWaitMs } = profileOf(this.settings.objective);
-    return Math.min(maxWaitMs, this.latestStart(deadlineAt) - this.clock.now());
+    return Math.min(maxWaitMs, this.latestStart(call) - this.clock.now());
   }
 
   /** As many calls as the wait allows, but never so few that a slot stays empty. */
@@ -226,7 +235,7 @@
   /** The wait was too long. Whoever is of a lower place has even less to hope for. */
   private giveUp(call: WaitingCall): void {
     if (!this.room.remove(call)) return;
-    if (this.isTooLate(call.deadlineAt)) {
+    if (this.isTooLate(call)) {
       this.refuse(call, ResultCode.notRunDeadline);
       return;
     }
@@ -277,7 +286,7 @@
     while (this.inFlight < this.limit.current()) {
       const call = this.room.takeNext();
       if (!call) return;
-      if (this.isTooLate(call.deadlineAt)) this.refuse(call, ResultCode.notRunDeadline);
+      if (this.isTooLate(call)) this.refuse(call, ResultCode.notRunDeadline);
       else call.settle(Ok(this.grant(call.enteredAt)));
     }
   }
