--- a/packages/core/src/forwarding/targetGuard.ts
+++ b/packages/core/src/forwarding/targetGuard.ts
@@ -18,6 +18,8 @@
 
 /** Weight of the newest sample in the mean time at the target. */
 const SERVICE_MEAN_WEIGHT = 0.05;
+/** Routes whose mean time is kept. */
+const MAX_ROUTES = 2000;
 /** Share of its route's mean time below which a request has too little time left to begin. */
 const USEFUL_TIME_SHARE = 0.5;
 /** Mean time at the target before the first sample, in milliseconds. */
@@ -145,6 +147,8 @@
     if (sent.isErr()) return { result: sent, reached };
     const tookMs = clock.now() - startedAt;
     serviceMs += SERVICE_MEAN_WEIGHT * (tookMs - serviceMs);
+    // Routes come and go with configurations.
+    if (routeMs.size > MAX_ROUTES) routeMs.clear();
     const mean = routeMs.get(request.route) ?? tookMs;
     routeMs.set(request.route, mean + SERVICE_MEAN_WEIGHT * (tookMs - mean));
     return { result: judge(sent.value), reached };
