--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -82,7 +82,7 @@
       EXCHANGE_TIMEOUT_MS,
     );
     if (asked.isErr()) {
-      logger.log('debug', 'exchange failed', { peer: address, reason: asked.error.message });
+      logger.log('info', 'exchange failed', { peer: address, reason: asked.error.message });
       return;
     }
     const { configuration, records } = asked.value;
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock.js';
+import type { Failure } from '../failure.js';
 import type { Logger } from '../logger.js';
 import type { Store } from '../store.js';
 import type { TargetRecord } from './targetRecord.js';
@@ -77,7 +78,7 @@
     const { store, logger } = this.options;
     if (this.lease !== undefined) {
       const kept = await store.keepLease(this.lease);
-      if (kept.isErr()) return false;
+      if (kept.isErr()) return this.fail('lease not renewed', kept.error);
       if (kept.value > 0) return true;
       logger.log('warn', 'lease of the record has lapsed', { key: this.options.key });
       this.lease = undefined;
@@ -85,24 +86,30 @@
       this.revision = undefined;
     }
     const granted = await store.grantLease(LEASE_TTL_S);
-    if (granted.isErr()) return false;
+    if (granted.isErr()) return this.fail('lease not granted', granted.error);
     this.lease = granted.value;
     this.written = '';
     return true;
   }
 
+  private fail(message: string, failure: Failure): false {
+    const { key, logger } = this.options;
+    logger.log('warn', message, { key, code: failure.code, reason: failure.message });
+    return false;
+  }
+
   private async write(value: string): Promise<boolean> {
     const { store, key, logger } = this.options;
     if (this.revision === undefined) {
       const found = await store.get(key);
-      if (found.isErr()) return false;
+      if (found.isErr()) return this.fail('record not read', found.error);
       this.revision = found.value?.modRevision ?? 0;
     }
     const swapped = await store.swap(key, this.revision, value, this.lease);
     if (swapped.isErr()) {
       // The write may have taken effect, now or later: read before the next try.
       this.revision = undefined;
-      return false;
+      return this.fail('record not written', swapped.error);
     }
     this.revision = swapped.value.current?.modRevision ?? 0;
     if (!swapped.value.swapped) return false;
