refactor(core): less kept and copied for each request

A running request keeps three fields for its calls, not the whole request with its body, which was spread again for each call. Dead: the count of refusals of a passage, a check of a load that is always there, a warm-up time of 0. A caller's fields stand once.

--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -69,10 +69,7 @@
     this.heardAt = this.clock.now();
     const { coldRemainingMs, ...rest } = beat;
     const isSameLife = before?.targetId === beat.targetId && before.startedAt === beat.startedAt;
-    const warmAt =
-      isSameLife && before.warmAt !== 0
-        ? before.warmAt
-        : this.clock.date().getTime() + coldRemainingMs;
+    const warmAt = isSameLife ? before.warmAt : this.clock.date().getTime() + coldRemainingMs;
     // Leaving is final: a life that drains does not become ready again.
     const state = isSameLife && before.state !== 'ready' ? before.state : beat.state;
     this.state = { ...rest, state, warmAt };
--- a/packages/core/src/forwarding/forwardedRequest.ts
+++ b/packages/core/src/forwarding/forwardedRequest.ts
@@ -1,11 +1,17 @@
 import type { CallHeaders } from '../call.js';
 
-/** A whole request of a caller, as the origin daemon took it in. */
-export interface ForwardedRequest {
+/** What a caller tells in the headers of a request. */
+export interface CallerFields {
   /** Id that the caller gave to this attempt of its own. */
   id: string;
-  /** Id of the request for which a target made this call. */
+  /** Id of the request for which a target made this call, when it is one. */
   parentId: string | undefined;
+  /** How long the caller waits, in milliseconds; undefined when it does not say. */
+  remainingMs: number | undefined;
+}
+
+/** A whole request of a caller, as the origin daemon took it in. */
+export interface ForwardedRequest extends CallerFields {
   method: string;
   /** Path and query, unchanged. */
   url: string;
@@ -13,17 +19,6 @@
   /** End-to-end headers. */
   headers: CallHeaders;
   body: Buffer;
-  /** How long the caller waits, in milliseconds; undefined when it does not say. */
-  remainingMs: number | undefined;
-}
-
-/** What a caller tells in the headers of a request. */
-export interface CallerFields {
-  id: string;
-  /** Id of the request for which a target made this call, when it is one. */
-  parentId: string | undefined;
-  /** How long the caller waits, in milliseconds. */
-  remainingMs: number | undefined;
 }
 
 /** What a target's answer says of the request. */
--- a/packages/core/src/forwarding/passage.ts
+++ b/packages/core/src/forwarding/passage.ts
@@ -46,9 +46,6 @@
   /** Attempts that may have run at a target. */
   attempts = 0;
 
-  /** Attempts that a target refused to run. */
-  refusals = 0;
-
   /** True when an attempt may have run. */
   mayHaveRun = false;
 
@@ -83,7 +80,6 @@
   recordEnd(end: AttemptEnd): void {
     // A target that refused has not run the request, so the request has attempts left.
     if (end.reached && !isNotRun(end.code)) this.attempts += 1;
-    else if (end.reached) this.refusals += 1;
     if (end.answer || isOutcomeUnknown(end.code)) this.mayHaveRun = true;
   }
 }
--- a/packages/core/src/forwarding/requestTrees.ts
+++ b/packages/core/src/forwarding/requestTrees.ts
@@ -21,8 +21,8 @@
   private readonly children = new Map<string, Set<string>>();
 
   /** The target works on a request now. */
-  begin(id: string, context: TreeContext): void {
-    this.running.set(id, context);
+  begin(id: string, { rootId, importance, route }: TreeContext): void {
+    this.running.set(id, { rootId, importance, route });
   }
 
   end(id: string): void {
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -101,7 +101,7 @@
   noteAnswer(target: KnownTarget, answer: HopAnswer): void {
     const view = this.viewOf(target.key);
     const now = this.options.clock.now();
-    if (answer.load) view.reported = { load: answer.load, at: now, ownThen: view.own };
+    view.reported = { load: answer.load, at: now, ownThen: view.own };
     if (answer.reached) {
       const refused = answer.code === ResultCode.notRunTargetRefused ? 1 : 0;
       view.refusals += REFUSAL_WEIGHT * (refused - view.refusals);
