refactor(core): two fields of a hop that nothing reads are not sent

The daemon beside a target goes by its own state and the run that the request is for; kind of execution and target id were sent and never read. 20 of 20 specs of the hop and the fleet pass.

--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -1,5 +1,5 @@
 import type { CallAnswer, CallHeaders } from '../call.js';
-import type { Execution, Importance } from '../configuration.js';
+import type { Importance } from '../configuration.js';
 import type { ResultNumber } from '../resultCode.js';
 
 /** A request as one daemon passes it to the daemon beside a target. */
@@ -21,9 +21,7 @@
   /** True when another request's target made this call. */
   isInner: boolean;
   route: string;
-  execution: Execution;
   service: string;
-  targetId: string;
   /** Run of the daemon that the request is for; another run refuses it. */
   incarnation: string;
   /** Version of the configuration that the sender has in force. */
