--- a/packages/core/src/histograms.ts
+++ b/packages/core/src/histograms.ts
@@ -8,6 +8,7 @@
 const HIGHEST_VALUE = 120_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const MICROSECONDS_PER_MS = 1000;
+const INTEGER_BITS = 32;
 
 const measures: HistogramMeasure[] = ['latency', 'queueTime', 'attempts', 'concurrency'];
 
@@ -63,7 +64,7 @@
 /** Bucket 0 counts zeros, bucket n the values from 2^(n-1) to 2^n - 1. */
 function recordValue(distribution: Distribution, value: number): void {
   const whole = Math.min(HIGHEST_VALUE, Math.max(0, Math.round(value)));
-  const bucket = whole === 0 ? 0 : Math.floor(Math.log2(whole)) + 1;
+  const bucket = INTEGER_BITS - Math.clz32(whole);
   const { buckets } = distribution;
   while (buckets.length <= bucket) buckets.push(0);
   buckets[bucket] = (buckets[bucket] ?? 0) + 1;
@@ -81,6 +82,21 @@
   if (call.concurrency !== undefined) recordValue(set.concurrency, call.concurrency);
 }
 
+function sumOf(sets: MeasureSet[]): MeasureSet {
+  const sum = createMeasureSet();
+  sets.forEach((set) => {
+    measures.forEach((measure) => {
+      const { histogram, buckets } = set[measure];
+      const total = sum[measure];
+      total.histogram.add(histogram);
+      buckets.forEach((count, bucket) => {
+        total.buckets[bucket] = (total.buckets[bucket] ?? 0) + count;
+      });
+    });
+  });
+  return sum;
+}
+
 function rowOf(
   group: HistogramRow['group'],
   key: string,
@@ -102,20 +118,40 @@
 
 /** Makes empty histograms; callers past the first ones share a histogram named `other`. */
 export function createHistograms(): Histograms {
-  const byImportance = new Map<string, MeasureSet>();
-  const byCaller = new Map<string, MeasureSet>();
+  // Each call is recorded once, by caller and importance; rows add up what they have in common.
+  const byCaller = new Map<string, Map<Importance, MeasureSet>>();
+
+  function callerKey(caller: string): string {
+    return byCaller.has(caller) || byCaller.size < MAX_CALLERS ? caller : OTHER_CALLERS;
+  }
 
-  function setOf(sets: Map<string, MeasureSet>, key: string): MeasureSet {
-    let set = sets.get(key);
+  function setOf(caller: string, importance: Importance): MeasureSet {
+    const key = callerKey(caller);
+    let sets = byCaller.get(key);
+    if (!sets) {
+      sets = new Map();
+      byCaller.set(key, sets);
+    }
+    let set = sets.get(importance);
     if (!set) {
       set = createMeasureSet();
-      sets.set(key, set);
+      sets.set(importance, set);
     }
     return set;
   }
 
-  function callerKey(caller: string): string {
-    return byCaller.has(caller) || byCaller.size < MAX_CALLERS ? caller : OTHER_CALLERS;
+  function sumsByCaller(): Map<string, MeasureSet> {
+    return new Map([...byCaller].map(([caller, sets]) => [caller, sumOf([...sets.values()])]));
+  }
+
+  function sumsByImportance(): Map<string, MeasureSet> {
+    const groups = new Map<Importance, MeasureSet[]>();
+    byCaller.forEach((sets) => {
+      sets.forEach((set, importance) => {
+        groups.set(importance, [...(groups.get(importance) ?? []), set]);
+      });
+    });
+    return new Map([...groups].map(([importance, sets]) => [importance, sumOf(sets)]));
   }
 
   function rowsOf(group: HistogramRow['group'], sets: Map<string, MeasureSet>): HistogramRow[] {
@@ -128,9 +164,11 @@
 
   return {
     record: (call) => {
-      recordInto(setOf(byImportance, call.importance), call);
-      recordInto(setOf(byCaller, callerKey(call.caller)), call);
+      recordInto(setOf(call.caller, call.importance), call);
     },
-    rows: () => [...rowsOf('importance', byImportance), ...rowsOf('caller', byCaller)],
+    rows: () => [
+      ...rowsOf('importance', sumsByImportance()),
+      ...rowsOf('caller', sumsByCaller()),
+    ],
   };
 }
