--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -126,3 +126,17 @@
   target.leave('i-unknown');
   assert.equal(target.current()?.state, 'gone');
 });
+
+test('a target that left before its daemon knew it is not taken in by a late heartbeat', async () => {
+  const clock = new ManualClock();
+  const target = new LocalTarget(clock, silentLogger);
+  const startedAt = clock.date().getTime();
+  await clock.advance(1000);
+  target.leave('i-1');
+  assert.equal(target.receive({ ...beat, startedAt, sequence: 5 }), false);
+  assert.equal(target.isReady(), false);
+  await clock.advance(1000);
+  const restartedAt = clock.date().getTime();
+  assert.equal(target.receive({ ...beat, startedAt: restartedAt, sequence: 1 }), true);
+  assert.equal(target.isReady(), true);
+});
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -32,6 +32,9 @@
 
   private heardAt = 0;
 
+  /** Calendar time at which targets left that were not known here, by id, in milliseconds. */
+  private readonly leftUnknown = new Map<string, number>();
+
   private readonly listeners: (() => void)[] = [];
 
   constructor(
@@ -56,7 +59,7 @@
 
   /** Takes in a heartbeat; false when it belongs to the past. */
   receive(beat: TargetHeartbeat): boolean {
-    if (this.isOld(beat.targetId, beat.startedAt, beat.sequence)) {
+    if (this.isOld(beat)) {
       this.logger.log('info', 'late heartbeat ignored', {
         target: beat.targetId,
         sequence: beat.sequence,
@@ -81,6 +84,7 @@
   leave(targetId: string): void {
     if (!this.state || this.state.targetId !== targetId) {
       this.logger.log('info', 'leaving of an unknown target', { target: targetId });
+      this.leftUnknown.set(targetId, this.clock.date().getTime());
       return;
     }
     if (this.state.state === 'gone') return;
@@ -89,7 +93,10 @@
     this.notify(before);
   }
 
-  private isOld(targetId: string, startedAt: number, sequence: number): boolean {
+  private isOld({ targetId, startedAt, sequence }: TargetHeartbeat): boolean {
+    // A daemon that was started again may hear of a leaving before a delayed heartbeat comes.
+    const leftAt = this.leftUnknown.get(targetId);
+    if (leftAt !== undefined && startedAt <= leftAt) return true;
     const known = this.state;
     if (!known) return false;
     if (startedAt !== known.startedAt) return startedAt < known.startedAt;
--- a/packages/core/src/histograms.ts
+++ b/packages/core/src/histograms.ts
@@ -166,9 +166,6 @@
     record: (call) => {
       recordInto(setOf(call.caller, call.importance), call);
     },
-    rows: () => [
-      ...rowsOf('importance', sumsByImportance()),
-      ...rowsOf('caller', sumsByCaller()),
-    ],
+    rows: () => [...rowsOf('importance', sumsByImportance()), ...rowsOf('caller', sumsByCaller())],
   };
 }
