--- a/packages/core/src/__tests__/adaptiveLimit.spec.ts
+++ b/packages/core/src/__tests__/adaptiveLimit.spec.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { LimitBounds } from '../adaptiveLimit.js';
-import { AimdLimit } from '../aimdLimit.js';
-import type { ConcurrencyLimit } from '../concurrencyLimit.js';
-import { GradientLimit } from '../gradientLimit.js';
-import { VegasLimit } from '../vegasLimit.js';
+import type { LimitBounds } from '../admission/adaptiveLimit.js';
+import { AimdLimit } from '../admission/aimdLimit.js';
+import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js';
+import { GradientLimit } from '../admission/gradientLimit.js';
+import { VegasLimit } from '../admission/vegasLimit.js';
 
 const SLOTS = 8;
 const SERVICE_MS = 20;
--- a/packages/core/src/__tests__/answerEnds.spec.ts
+++ b/packages/core/src/__tests__/answerEnds.spec.ts
@@ -3,11 +3,11 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import type { Result } from 'ts-results-es';
-import type { CallAnswer } from '../call.js';
-import { systemClock } from '../clock.js';
-import type { Failure } from '../failure.js';
-import { HttpCallTransport } from '../httpCallTransport.js';
-import { ResultCode } from '../resultCode.js';
+import type { CallAnswer } from '../calls/call.js';
+import { systemClock } from '../runtime/clock.js';
+import type { Failure } from '../runtime/failure.js';
+import { HttpCallTransport } from '../http/httpCallTransport.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 type AnswerEnd = 'close' | 'reset' | 'stay';
 
--- a/packages/core/src/__tests__/answerTable.spec.ts
+++ b/packages/core/src/__tests__/answerTable.spec.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Ok } from 'ts-results-es';
-import { AnswerTable } from '../answerTable.js';
-import type { CallOutcome } from '../answerTable.js';
-import { mintKey } from '../idempotencyKey.js';
-import { ManualClock } from '../manualClock.js';
-import { createSeededRandom } from '../random.js';
-import { ResultCode } from '../resultCode.js';
+import { AnswerTable } from '../atMostOnce/answerTable.js';
+import type { CallOutcome } from '../atMostOnce/answerTable.js';
+import { mintKey } from '../calls/idempotencyKey.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const clock = new ManualClock();
 const random = createSeededRandom(3);
--- a/packages/core/src/__tests__/answers.spec.ts
+++ b/packages/core/src/__tests__/answers.spec.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { readAnswers } from '../answers.js';
-import { differenceOf } from '../difference.js';
-import { explainCall } from '../explain.js';
-import { generateConfiguration } from '../generate.js';
-import { ResultCode } from '../resultCode.js';
+import { readAnswers } from '../configuration/answers.js';
+import { differenceOf } from '../configuration/difference.js';
+import { explainCall } from '../configuration/explain.js';
+import { generateConfiguration } from '../configuration/generate.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const head = `version: 1
 weighsMore: goodput
--- a/packages/core/src/__tests__/applyChange.spec.ts
+++ b/packages/core/src/__tests__/applyChange.spec.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { applyConfiguration } from '../applyChange.js';
-import type { ApplyOptions, ApplyOutcome } from '../applyChange.js';
-import type { Configuration } from '../configuration.js';
-import type { Failure } from '../failure.js';
-import { ManualClock } from '../manualClock.js';
-import { MemoryStore } from '../memoryStore.js';
-import type { LostWriteEffect } from '../memoryStore.js';
-import { createSeededRandom } from '../random.js';
-import { ResultCode } from '../resultCode.js';
-import { HISTORY_KEPT, readAccepted, readHistory } from '../revisions.js';
-import { CONFIGURATION_KEY } from '../storeKeys.js';
+import { applyConfiguration } from '../configuration/applyChange.js';
+import type { ApplyOptions, ApplyOutcome } from '../configuration/applyChange.js';
+import type { Configuration } from '../configuration/configuration.js';
+import type { Failure } from '../runtime/failure.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { MemoryStore } from '../store/memoryStore.js';
+import type { LostWriteEffect } from '../store/memoryStore.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import { HISTORY_KEPT, readAccepted, readHistory } from '../configuration/revisions.js';
+import { CONFIGURATION_KEY } from '../store/storeKeys.js';
 
 function configurationOf(deadlineMs: number, shards = 4): Configuration {
   return {
--- a/packages/core/src/__tests__/attemptAllowance.spec.ts
+++ b/packages/core/src/__tests__/attemptAllowance.spec.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { AttemptAllowance, parseTokens } from '../attemptAllowance.js';
-import { AttemptGrant } from '../attemptGrant.js';
-import { ResultCode } from '../resultCode.js';
+import { AttemptAllowance, parseTokens } from '../attempts/attemptAllowance.js';
+import { AttemptGrant } from '../attempts/attemptGrant.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const SEED = 4;
 const RUNS = 2000;
--- a/packages/core/src/__tests__/callerShedding.spec.ts
+++ b/packages/core/src/__tests__/callerShedding.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createCallerShedding } from '../callerShedding.js';
-import { ManualClock } from '../manualClock.js';
-import { createSeededRandom } from '../random.js';
+import { createCallerShedding } from '../admission/callerShedding.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { createSeededRandom } from '../runtime/random.js';
 
 const LEVEL = 300;
 
--- a/packages/core/src/__tests__/forwardingParts.spec.ts
+++ b/packages/core/src/__tests__/forwardingParts.spec.ts
@@ -2,9 +2,9 @@
 import { test } from 'node:test';
 import { AttemptRegister } from '../forwarding/attemptRegister.js';
 import { retryAfterMs } from '../forwarding/retryAfter.js';
-import { ManualClock } from '../manualClock.js';
-import { createSeededRandom } from '../random.js';
-import { RetryBudget } from '../retryBudget.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { RetryBudget } from '../attempts/retryBudget.js';
 
 test('an attempt that waits can be voided and never begins', () => {
   const attempts = new AttemptRegister(new ManualClock());
--- a/packages/core/src/__tests__/hopConnection.spec.ts
+++ b/packages/core/src/__tests__/hopConnection.spec.ts
@@ -2,13 +2,13 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
-import { systemClock } from '../clock.js';
+import { systemClock } from '../runtime/clock.js';
 import { HopClient } from '../forwarding/hopClient.js';
 import type { HopAnswer, HopRequest } from '../forwarding/hopMessages.js';
 import { HopServer } from '../forwarding/hopServer.js';
 import type { HopHandler } from '../forwarding/hopServer.js';
-import { silentLogger } from '../logger.js';
-import { ResultCode } from '../resultCode.js';
+import { silentLogger } from '../observability/logger.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const request: HopRequest = {
   attemptId: 'run-1',
--- a/packages/core/src/__tests__/httpCallTransport.spec.ts
+++ b/packages/core/src/__tests__/httpCallTransport.spec.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { CallRequest, SendBounds } from '../call.js';
-import { HttpCallTransport } from '../httpCallTransport.js';
-import type { HttpTransportSettings } from '../httpCallTransport.js';
-import { ManualClock } from '../manualClock.js';
-import { ResultCode, isNotRun } from '../resultCode.js';
+import type { CallRequest, SendBounds } from '../calls/call.js';
+import { HttpCallTransport } from '../http/httpCallTransport.js';
+import type { HttpTransportSettings } from '../http/httpCallTransport.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { ResultCode, isNotRun } from '../runtime/resultCode.js';
 import { RawServer, echoOf } from './support/rawServer.js';
 import type { RawHandler, RawRequest } from './support/rawServer.js';
 
--- a/packages/core/src/__tests__/httpServer.spec.ts
+++ b/packages/core/src/__tests__/httpServer.spec.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { request } from 'undici';
-import { CallHeader } from '../callHeaders.js';
-import { closeHttp, listenHttp } from '../httpServer.js';
-import type { HttpHandler } from '../httpServer.js';
-import { ResultCode } from '../resultCode.js';
+import { CallHeader } from '../calls/callHeaders.js';
+import { closeHttp, listenHttp } from '../http/httpServer.js';
+import type { HttpHandler } from '../http/httpServer.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const LIMIT_BYTES = 10;
 
--- a/packages/core/src/__tests__/idempotencyKey.spec.ts
+++ b/packages/core/src/__tests__/idempotencyKey.spec.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { deriveKey, mintKey, readKey, shardOf, timeOfKey } from '../idempotencyKey.js';
-import { ManualClock } from '../manualClock.js';
-import { createSeededRandom } from '../random.js';
-import { ResultCode } from '../resultCode.js';
+import { deriveKey, mintKey, readKey, shardOf, timeOfKey } from '../calls/idempotencyKey.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const epoch = new Date('2026-12-04T00:00:00Z');
 
--- a/packages/core/src/__tests__/innerFailures.spec.ts
+++ b/packages/core/src/__tests__/innerFailures.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '../manualClock.js';
+import { ManualClock } from '../runtime/manualClock.js';
 import { InnerFailures } from '../placement/innerFailures.js';
-import { placeOf } from '../shedLevel.js';
+import { placeOf } from '../admission/shedLevel.js';
 
 function record(failures: InnerFailures, importance: 'critical' | 'normal', share: number): void {
   for (let call = 0; call < 100; call++) {
--- a/packages/core/src/__tests__/interimAnswers.spec.ts
+++ b/packages/core/src/__tests__/interimAnswers.spec.ts
@@ -1,11 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { HttpCallTransport } from '../httpCallTransport.js';
-import { closeHttp, listenHttp } from '../httpServer.js';
-import type { HttpAnswer } from '../httpServer.js';
-import { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from '../interimAnswers.js';
-import { ManualClock } from '../manualClock.js';
-import { ResultCode } from '../resultCode.js';
+import { HttpCallTransport } from '../http/httpCallTransport.js';
+import { closeHttp, listenHttp } from '../http/httpServer.js';
+import type { HttpAnswer } from '../http/httpServer.js';
+import {
+  INTERIM_INTERVAL_MS,
+  MAX_SILENCE_MS,
+  startInterimAnswers,
+} from '../calls/interimAnswers.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const DEADLINE_MS = 10_000;
 const SLOW_MS = 3 * MAX_SILENCE_MS;
--- a/packages/core/src/__tests__/memoryStore.spec.ts
+++ b/packages/core/src/__tests__/memoryStore.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '../manualClock.js';
-import { MemoryStore } from '../memoryStore.js';
-import { ResultCode } from '../resultCode.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { MemoryStore } from '../store/memoryStore.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 test('a swap takes effect only at the expected revision', async () => {
   const store = new MemoryStore(new ManualClock());
--- a/packages/core/src/__tests__/peerExchange.spec.ts
+++ b/packages/core/src/__tests__/peerExchange.spec.ts
@@ -5,11 +5,11 @@
 import { PeerExchange } from '../directory/peerExchange.js';
 import { TargetDirectory } from '../directory/targetDirectory.js';
 import type { TargetRecord } from '../directory/targetRecord.js';
-import type { Failure } from '../failure.js';
-import { silentLogger } from '../logger.js';
-import { ManualClock } from '../manualClock.js';
-import type { PeerAddress, PeerMethod } from '../peer.js';
-import { createSeededRandom } from '../random.js';
+import type { Failure } from '../runtime/failure.js';
+import { silentLogger } from '../observability/logger.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import type { PeerAddress, PeerMethod } from '../peers/peer.js';
+import { createSeededRandom } from '../runtime/random.js';
 import type { RoutingConfiguration } from '../routes/route.js';
 import { RoutingKeeper } from '../routes/routingKeeper.js';
 
--- a/packages/core/src/__tests__/resultCode.spec.ts
+++ b/packages/core/src/__tests__/resultCode.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ResultCode, isNotRun, isOutcomeUnknown, resultNameOf } from '../resultCode.js';
+import { ResultCode, isNotRun, isOutcomeUnknown, resultNameOf } from '../runtime/resultCode.js';
 
 test('every result code has a number of its own', () => {
   const numbers = Object.values(ResultCode);
--- a/packages/core/src/__tests__/retryPolicy.spec.ts
+++ b/packages/core/src/__tests__/retryPolicy.spec.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { backoffMs } from '../backoff.js';
-import { deadlineAt, parseDeadlineMs, remainingForHopMs } from '../deadline.js';
-import { ManualClock } from '../manualClock.js';
-import { createSeededRandom } from '../random.js';
-import { ResultCode, isNotRun } from '../resultCode.js';
-import { RetryBudget } from '../retryBudget.js';
-import { mayRetry } from '../retryDecision.js';
+import { backoffMs } from '../attempts/backoff.js';
+import { deadlineAt, parseDeadlineMs, remainingForHopMs } from '../calls/deadline.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { ResultCode, isNotRun } from '../runtime/resultCode.js';
+import { RetryBudget } from '../attempts/retryBudget.js';
+import { mayRetry } from '../attempts/retryDecision.js';
 
 const SEED = 5;
 
--- a/packages/core/src/__tests__/routeLevels.spec.ts
+++ b/packages/core/src/__tests__/routeLevels.spec.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RequestTrees } from '../forwarding/requestTrees.js';
-import { ManualClock } from '../manualClock.js';
+import { ManualClock } from '../runtime/manualClock.js';
 import { InnerFailures } from '../placement/innerFailures.js';
 import { RouteLevels } from '../placement/routeLevels.js';
-import { createSeededRandom } from '../random.js';
+import { createSeededRandom } from '../runtime/random.js';
 
 /** Levels at a host whose target calls `venue` for `member`, and nothing for `notes`. */
 function createLevels() {
--- a/packages/core/src/__tests__/routes.spec.ts
+++ b/packages/core/src/__tests__/routes.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { silentLogger } from '../logger.js';
-import { createSeededRandom } from '../random.js';
+import { silentLogger } from '../observability/logger.js';
+import { createSeededRandom } from '../runtime/random.js';
 import type { Route, RoutingConfiguration } from '../routes/route.js';
 import { RouteTable } from '../routes/routeTable.js';
 import { RoutingKeeper } from '../routes/routingKeeper.js';
--- a/packages/core/src/__tests__/settings.spec.ts
+++ b/packages/core/src/__tests__/settings.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ResultCode } from '../resultCode.js';
-import { readSettings } from '../settings.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import { readSettings } from '../configuration/settings.js';
 
 const head = 'host: h1\ndataCentre: hobart\naddress: 10.0.0.7\n';
 
--- a/packages/core/src/__tests__/shedOrder.spec.ts
+++ b/packages/core/src/__tests__/shedOrder.spec.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { Admission, AdmissionSettings, Permit } from '../admission.js';
-import { importances } from '../configuration.js';
-import type { Importance } from '../configuration.js';
-import { ManualClock } from '../manualClock.js';
-import { ResultCode } from '../resultCode.js';
-import type { ResultNumber } from '../resultCode.js';
-import { placeOf } from '../shedLevel.js';
-import { createAdmission } from '../targetAdmission.js';
+import type { Admission, AdmissionSettings, Permit } from '../admission/admission.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
+import { placeOf } from '../admission/shedLevel.js';
+import { createAdmission } from '../admission/targetAdmission.js';
 
 const SEED = 20261204;
 const PATIENCE_MS = 800;
--- a/packages/core/src/__tests__/targetAdmission.spec.ts
+++ b/packages/core/src/__tests__/targetAdmission.spec.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Result } from 'ts-results-es';
-import type { AdmissionRequest, AdmissionSettings, Permit } from '../admission.js';
-import { importances } from '../configuration.js';
-import type { Importance } from '../configuration.js';
-import type { Failure } from '../failure.js';
-import { ManualClock } from '../manualClock.js';
-import { ResultCode } from '../resultCode.js';
-import { PLACES_PER_IMPORTANCE, placeOf } from '../shedLevel.js';
-import { createAdmission } from '../targetAdmission.js';
+import type { AdmissionRequest, AdmissionSettings, Permit } from '../admission/admission.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
+import type { Failure } from '../runtime/failure.js';
+import { ManualClock } from '../runtime/manualClock.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import { PLACES_PER_IMPORTANCE, placeOf } from '../admission/shedLevel.js';
+import { createAdmission } from '../admission/targetAdmission.js';
 
 const settings: AdmissionSettings = { limit: 'fixed', slots: 1, objective: 'goodput' };
 
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -4,8 +4,8 @@
 import type { TargetHeartbeat } from '../directory/localTarget.js';
 import { TargetDirectory } from '../directory/targetDirectory.js';
 import type { TargetRecord } from '../directory/targetRecord.js';
-import { silentLogger } from '../logger.js';
-import { ManualClock } from '../manualClock.js';
+import { silentLogger } from '../observability/logger.js';
+import { ManualClock } from '../runtime/manualClock.js';
 
 const record: TargetRecord = {
   targetId: 'i-1',
--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -3,12 +3,12 @@
 import { TargetDirectory } from '../directory/targetDirectory.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
 import type { HopAnswer, TargetLoad } from '../forwarding/hopMessages.js';
-import { silentLogger } from '../logger.js';
-import { ManualClock } from '../manualClock.js';
+import { silentLogger } from '../observability/logger.js';
+import { ManualClock } from '../runtime/manualClock.js';
 import { TargetPlacement } from '../placement/targetPlacement.js';
-import { createSeededRandom } from '../random.js';
-import { ResultCode } from '../resultCode.js';
-import type { ResultNumber } from '../resultCode.js';
+import { createSeededRandom } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 const idle: TargetLoad = { inFlight: 0, waiting: 0, limit: 10, serviceMs: 50 };
 
--- a/packages/core/src/adaptiveLimit.ts
+++ b/packages/core/src/admission/adaptiveLimit.ts
@@ -1,7 +1,7 @@
 import { ConcurrencyLimit } from './concurrencyLimit.js';
 import type { LimitSample } from './concurrencyLimit.js';
 import { LatencyFloor } from './latencyFloor.js';
-import { RoundSums } from './roundSums.js';
+import { RoundSums } from '../attempts/roundSums.js';
 
 /** Bounds of an adaptive limit. */
 export interface LimitBounds {
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'ts-results-es';
-import type { Importance } from './configuration.js';
-import type { Failure } from './failure.js';
+import type { Importance } from '../configuration/configuration.js';
+import type { Failure } from '../runtime/failure.js';
 
 /** A call that asks to be let in to the target. */
 export interface AdmissionRequest {
--- a/packages/core/src/admissionProfile.ts
+++ b/packages/core/src/admission/admissionProfile.ts
@@ -1,4 +1,4 @@
-import type { Objective } from './configuration.js';
+import type { Objective } from '../configuration/configuration.js';
 import type { ShedLevelPace } from './shedLevel.js';
 
 /** What the operators' objective trades. */
--- a/packages/core/src/callerShedding.ts
+++ b/packages/core/src/admission/callerShedding.ts
@@ -1,5 +1,5 @@
-import type { Clock } from './clock.js';
-import type { RandomSource } from './random.js';
+import type { Clock } from '../runtime/clock.js';
+import type { RandomSource } from '../runtime/random.js';
 import { PLACE_COUNT } from './shedLevel.js';
 
 /** How long a level counts in full after the answer that brought it. */
--- a/packages/core/src/callsBelow.ts
+++ b/packages/core/src/admission/callsBelow.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 
 /** Follows the calls that a running call makes: how long it waits for them, and how they end. */
 export class CallsBelow {
--- a/packages/core/src/levelBelow.ts
+++ b/packages/core/src/admission/levelBelow.ts
@@ -1,6 +1,6 @@
 import type { CallerShedding } from './callerShedding.js';
-import type { CallPolicy, Configuration } from './configuration.js';
-import type { TargetSubsets } from './targetSubset.js';
+import type { CallPolicy, Configuration } from '../configuration/configuration.js';
+import type { TargetSubsets } from '../membership/targetSubset.js';
 
 /** What the level below is made from. */
 export interface LevelBelowOptions {
--- a/packages/core/src/shedLevel.ts
+++ b/packages/core/src/admission/shedLevel.ts
@@ -1,5 +1,5 @@
-import { importances } from './configuration.js';
-import type { Importance } from './configuration.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
 
 /** Places within one importance; callers are spread over them by hash. */
 export const PLACES_PER_IMPORTANCE = 128;
--- a/packages/core/src/targetAdmission.ts
+++ b/packages/core/src/admission/targetAdmission.ts
@@ -10,14 +10,14 @@
 import type { LimitBounds } from './adaptiveLimit.js';
 import { profileOf } from './admissionProfile.js';
 import { AimdLimit } from './aimdLimit.js';
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import { ExpectedService } from './expectedService.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
 import { FixedLimit } from './fixedLimit.js';
-import { ResultCode } from './resultCode.js';
-import type { ResultNumber } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 import { PLACE_COUNT, ShedLevel, placeOf } from './shedLevel.js';
 import { UnlimitedLimit } from './unlimitedLimit.js';
 
--- a/packages/core/src/answerTable.ts
+++ b/packages/core/src/atMostOnce/answerTable.ts
@@ -1,10 +1,10 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import type { CallAnswer } from './call.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { timeOfKey } from './idempotencyKey.js';
-import { ResultCode } from './resultCode.js';
+import type { CallAnswer } from '../calls/call.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { timeOfKey } from '../calls/idempotencyKey.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** What a call ended with. */
 export type CallOutcome = Result<CallAnswer, Failure>;
--- a/packages/core/src/deputyChoice.ts
+++ b/packages/core/src/atMostOnce/deputyChoice.ts
@@ -1,6 +1,6 @@
-import type { Clock } from './clock.js';
-import { rendezvous } from './hash.js';
-import type { Directory, Member } from './member.js';
+import type { Clock } from '../runtime/clock.js';
+import { rendezvous } from '../runtime/hash.js';
+import type { Directory, Member } from '../membership/member.js';
 import { holderOf } from './shardRecord.js';
 import type { Holder } from './shardRecord.js';
 
--- a/packages/core/src/handover.ts
+++ b/packages/core/src/atMostOnce/handover.ts
@@ -2,9 +2,9 @@
 import type { AnswerTable, TableRow } from './answerTable.js';
 import type { Holder } from './shardRecord.js';
 import { OneShotMethod } from './pledge.js';
-import type { PeerCaller } from './peer.js';
-import { ResultCode } from './resultCode.js';
-import type { ResultName } from './resultCode.js';
+import type { PeerCaller } from '../peers/peer.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultName } from '../runtime/resultCode.js';
 
 const CHUNK_BYTES = 1024 * 1024;
 const ROW_OVERHEAD_BYTES = 256;
--- a/packages/core/src/homeLocator.ts
+++ b/packages/core/src/atMostOnce/homeLocator.ts
@@ -1,4 +1,4 @@
-import type { Directory, Member } from './member.js';
+import type { Directory, Member } from '../membership/member.js';
 
 interface Claimed {
   member: Member;
--- a/packages/core/src/oneShot.ts
+++ b/packages/core/src/atMostOnce/oneShot.ts
@@ -1,23 +1,23 @@
 import { Err } from 'ts-results-es';
 import { defaultAnswerTableLimits } from './answerTable.js';
 import type { AnswerTableLimits, CallOutcome } from './answerTable.js';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { shardOf } from './idempotencyKey.js';
-import type { Logger } from './logger.js';
-import type { Directory, Member, ShardClaim } from './member.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { shardOf } from '../calls/idempotencyKey.js';
+import type { Logger } from '../observability/logger.js';
+import type { Directory, Member, ShardClaim } from '../membership/member.js';
 import { defaultOneShotTiming } from './oneShotTiming.js';
 import type { OneShotTiming } from './oneShotTiming.js';
-import type { PeerCaller, PeerMethods } from './peer.js';
-import type { RandomSource } from './random.js';
-import { ResultCode } from './resultCode.js';
+import type { PeerCaller, PeerMethods } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { createShardDeputy } from './shardDeputy.js';
 import type { ShardDeputyFactory } from './shardDeputy.js';
 import { createShardHome } from './shardHome.js';
 import type { Execute, ShardHomeFactory } from './shardHome.js';
 import { ShardKeeper } from './shardKeeper.js';
-import type { Store } from './store.js';
+import type { Store } from '../store/store.js';
 
 /** What at-most-once execution at one daemon needs. */
 export interface OneShotOptions {
--- a/packages/core/src/oneShotTiming.ts
+++ b/packages/core/src/atMostOnce/oneShotTiming.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 
 /** Durations of the at-most-once protocol, in milliseconds. */
 export interface OneShotTiming {
--- a/packages/core/src/pledge.ts
+++ b/packages/core/src/atMostOnce/pledge.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { PeerCaller } from './peer.js';
+import type { PeerCaller } from '../peers/peer.js';
 import type { Holder } from './shardRecord.js';
 
 /** Control methods of the at-most-once protocol, between the daemons of one service. */
--- a/packages/core/src/reassignShard.ts
+++ b/packages/core/src/atMostOnce/reassignShard.ts
@@ -1,14 +1,14 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import type { PeerCaller } from './peer.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import type { PeerCaller } from '../peers/peer.js';
 import { OneShotMethod, isAlive } from './pledge.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { ShardRecords } from './shardRecord.js';
 import type { Holder, RecordSwap, ShardState } from './shardRecord.js';
-import type { Store } from './store.js';
+import type { Store } from '../store/store.js';
 import { recordWithoutTable } from './takeover.js';
 
 const ASK_TIMEOUT_MS = 2000;
--- a/packages/core/src/shardBook.ts
+++ b/packages/core/src/atMostOnce/shardBook.ts
@@ -1,9 +1,9 @@
 import { AnswerTable } from './answerTable.js';
 import type { AnswerTableLimits, TableRow } from './answerTable.js';
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { StagedTable } from './handover.js';
-import type { Logger } from './logger.js';
-import type { ShardClaim } from './member.js';
+import type { Logger } from '../observability/logger.js';
+import type { ShardClaim } from '../membership/member.js';
 import type { OneShotTiming } from './oneShotTiming.js';
 import type { ShardDeputy, ShardDeputyFactory } from './shardDeputy.js';
 import type { ShardHome, ShardHomeFactory } from './shardHome.js';
--- a/packages/core/src/shardContext.ts
+++ b/packages/core/src/atMostOnce/shardContext.ts
@@ -6,7 +6,7 @@
 import type { ShardDeputyFactory } from './shardDeputy.js';
 import type { ShardHomeFactory } from './shardHome.js';
 import type { Holder, ShardRecords } from './shardRecord.js';
-import type { TaskGroup } from './taskGroup.js';
+import type { TaskGroup } from '../runtime/taskGroup.js';
 
 /** Options of at-most-once execution with every default filled in. */
 export interface ShardKeeperOptions extends OneShotOptions {
--- a/packages/core/src/shardDeputy.ts
+++ b/packages/core/src/atMostOnce/shardDeputy.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { OneShotTiming } from './oneShotTiming.js';
 
 /** How the swap of a takeover ended. */
--- a/packages/core/src/shardHome.ts
+++ b/packages/core/src/atMostOnce/shardHome.ts
@@ -1,12 +1,12 @@
 import { Err } from 'ts-results-es';
 import type { AnswerTable, CallOutcome } from './answerTable.js';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { timeOfKey } from './idempotencyKey.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { timeOfKey } from '../calls/idempotencyKey.js';
 import { elapsedSince } from './oneShotTiming.js';
 import type { Instant, OneShotTiming } from './oneShotTiming.js';
-import { ResultCode, isNotRun } from './resultCode.js';
+import { ResultCode, isNotRun } from '../runtime/resultCode.js';
 import type { ShardState } from './shardRecord.js';
 
 /** What binds the execution of one call. */
--- a/packages/core/src/shardKeeper.ts
+++ b/packages/core/src/atMostOnce/shardKeeper.ts
@@ -4,14 +4,14 @@
 import type { Instant } from './oneShotTiming.js';
 import { OneShotMethod, pledgeRequestSchema, shardRevisionSchema } from './pledge.js';
 import { PledgeExchange } from './pledgeExchange.js';
-import { RecordRefresh } from './recordRefresh.js';
+import { RecordRefresh } from '../membership/recordRefresh.js';
 import { ShardBook } from './shardBook.js';
 import type { ShardContext, ShardKeeperOptions } from './shardContext.js';
 import type { ShardHome } from './shardHome.js';
 import { ShardMoves } from './shardMoves.js';
 import { ShardRecords, holderOf } from './shardRecord.js';
-import { Slots } from './slots.js';
-import { TaskGroup } from './taskGroup.js';
+import { Slots } from '../admission/slots.js';
+import { TaskGroup } from '../runtime/taskGroup.js';
 
 /** Unplanned changes of records that a daemon makes at once, so that a lost data centre does not flood the store. */
 const UNPLANNED_MOVES = 2;
--- a/packages/core/src/shardMoves.ts
+++ b/packages/core/src/atMostOnce/shardMoves.ts
@@ -1,5 +1,5 @@
 import { sendTable } from './handover.js';
-import { mintKey } from './idempotencyKey.js';
+import { mintKey } from '../calls/idempotencyKey.js';
 import { OneShotMethod, isAlive } from './pledge.js';
 import type { ShardContext } from './shardContext.js';
 import type { ShardHome } from './shardHome.js';
--- a/packages/core/src/shardRecord.ts
+++ b/packages/core/src/atMostOnce/shardRecord.ts
@@ -1,10 +1,10 @@
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
-import type { Failure } from './failure.js';
-import type { Member } from './member.js';
-import { ResultCode } from './resultCode.js';
-import type { Store, StoreEntry } from './store.js';
+import type { Failure } from '../runtime/failure.js';
+import type { Member } from '../membership/member.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { Store, StoreEntry } from '../store/store.js';
 
 const holderSchema = z.object({
   incarnation: z.string(),
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/atMostOnce/takeover.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { ShardDeputy, TakeoverEnd } from './shardDeputy.js';
 import type { Holder, RecordSwap, ShardRecord, ShardRecords, ShardState } from './shardRecord.js';
 
--- a/packages/core/src/attemptAllowance.ts
+++ b/packages/core/src/attempts/attemptAllowance.ts
@@ -1,9 +1,9 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { AttemptGrant } from './attemptGrant.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** Most tokens that one call may carry. */
 export const MAX_ATTEMPT_TOKENS = 100;
--- a/packages/core/src/backoff.ts
+++ b/packages/core/src/attempts/backoff.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '../runtime/random.js';
 
 /** Longest wait before the first retry, in milliseconds. */
 const BASE_MS = 10;
--- a/packages/core/src/retryBudget.ts
+++ b/packages/core/src/attempts/retryBudget.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 
 /** Share of recent calls to a service that may be retried. */
 export const RETRY_RATIO = 0.1;
--- a/packages/core/src/retryDecision.ts
+++ b/packages/core/src/attempts/retryDecision.ts
@@ -1,6 +1,6 @@
-import type { Execution } from './configuration.js';
-import { ResultCode, isNotRun, isOutcomeUnknown } from './resultCode.js';
-import type { ResultNumber } from './resultCode.js';
+import type { Execution } from '../configuration/configuration.js';
+import { ResultCode, isNotRun, isOutcomeUnknown } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 /** What a retry would repeat. */
 export interface RetryCase {
--- a/packages/core/src/roundSums.ts
+++ b/packages/core/src/attempts/roundSums.ts
@@ -1,4 +1,4 @@
-import type { LimitSample } from './concurrencyLimit.js';
+import type { LimitSample } from '../admission/concurrencyLimit.js';
 
 /** Sums over one round of calls. */
 export class RoundSums {
--- a/packages/core/src/call.ts
+++ b/packages/core/src/calls/call.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import type { Failure } from './failure.js';
+import type { Failure } from '../runtime/failure.js';
 
 /** Headers of a call, by lower-case name. */
 export type CallHeaders = Record<string, string>;
--- a/packages/core/src/callAnswer.ts
+++ b/packages/core/src/calls/callAnswer.ts
@@ -1,10 +1,10 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { CallAnswer, CallHeaders } from './call.js';
 import { CallHeader } from './callHeaders.js';
-import { headersWithout, isConnectionHeader } from './endToEndHeaders.js';
-import type { Failure } from './failure.js';
-import { ResultCode, httpStatusOf, resultNameOf } from './resultCode.js';
-import type { ResultNumber } from './resultCode.js';
+import { headersWithout, isConnectionHeader } from '../http/endToEndHeaders.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode, httpStatusOf, resultNameOf } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 const ownPrefix = 'x-shallotcroft-';
 
--- a/packages/core/src/callContext.ts
+++ b/packages/core/src/calls/callContext.ts
@@ -1,14 +1,14 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { parseTokens } from './attemptAllowance.js';
+import { parseTokens } from '../attempts/attemptAllowance.js';
 import type { CallHeaders } from './call.js';
 import { CallHeader } from './callHeaders.js';
-import { importances } from './configuration.js';
-import type { Importance } from './configuration.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
 import { parseDeadlineMs } from './deadline.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const MAX_NAME_LENGTH = 200;
 const namePattern = /^[\x21-\x7e]+$/;
--- a/packages/core/src/callOrigin.ts
+++ b/packages/core/src/calls/callOrigin.ts
@@ -1,19 +1,19 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { v7 as uuidv7 } from 'uuid';
-import { AttemptAllowance } from './attemptAllowance.js';
+import { AttemptAllowance } from '../attempts/attemptAllowance.js';
 import type { CallRequest } from './call.js';
 import { readName } from './callContext.js';
 import type { CallContext } from './callContext.js';
 import { CallHeader } from './callHeaders.js';
-import type { Clock } from './clock.js';
-import type { CallPolicy, Configuration } from './configuration.js';
+import type { Clock } from '../runtime/clock.js';
+import type { CallPolicy, Configuration } from '../configuration/configuration.js';
 import { HOP_COST_MS, deadlineAt, parseDeadlineMs } from './deadline.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
 import { deriveKey, readKey } from './idempotencyKey.js';
-import { ResultCode } from './resultCode.js';
-import type { ResultNumber } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 import type { RunningCall, RunningCalls } from './runningCalls.js';
 
 const ANONYMOUS_CALLER = 'anonymous';
--- a/packages/core/src/callProgress.ts
+++ b/packages/core/src/calls/callProgress.ts
@@ -1,9 +1,9 @@
-import type { AttemptAllowance } from './attemptAllowance.js';
+import type { AttemptAllowance } from '../attempts/attemptAllowance.js';
 import type { CallRequest } from './call.js';
 import type { CallContext } from './callContext.js';
 import type { CallOrigin } from './callOrigin.js';
-import type { CallPolicy } from './configuration.js';
-import type { Member } from './member.js';
+import type { CallPolicy } from '../configuration/configuration.js';
+import type { Member } from '../membership/member.js';
 
 /** One call while its attempts are made. */
 export class CallProgress {
--- a/packages/core/src/callRouting.ts
+++ b/packages/core/src/calls/callRouting.ts
@@ -1,15 +1,15 @@
-import { createCallerShedding } from './callerShedding.js';
-import type { CallerShedding } from './callerShedding.js';
-import type { Clock } from './clock.js';
-import type { Configuration } from './configuration.js';
-import { createHomeLocator } from './homeLocator.js';
-import type { Directory } from './member.js';
-import type { RandomSource } from './random.js';
-import { createTargetChooser } from './targetChooser.js';
-import { createTargetRouter } from './targetRouter.js';
-import type { TargetRouter } from './targetRouter.js';
-import { createTargetSubsets } from './targetSubset.js';
-import type { CallingHost, TargetSubsets } from './targetSubset.js';
+import { createCallerShedding } from '../admission/callerShedding.js';
+import type { CallerShedding } from '../admission/callerShedding.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Configuration } from '../configuration/configuration.js';
+import { createHomeLocator } from '../atMostOnce/homeLocator.js';
+import type { Directory } from '../membership/member.js';
+import type { RandomSource } from '../runtime/random.js';
+import { createTargetChooser } from '../membership/targetChooser.js';
+import { createTargetRouter } from '../membership/targetRouter.js';
+import type { TargetRouter } from '../membership/targetRouter.js';
+import { createTargetSubsets } from '../membership/targetSubset.js';
+import type { CallingHost, TargetSubsets } from '../membership/targetSubset.js';
 
 /** What routing is made from. */
 export interface CallRoutingOptions {
--- a/packages/core/src/deadline.ts
+++ b/packages/core/src/calls/deadline.ts
@@ -1,8 +1,8 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** Longest time that a call may take, in milliseconds. */
 export const MAX_DEADLINE_MS = 3_600_000;
--- a/packages/core/src/idempotencyKey.ts
+++ b/packages/core/src/calls/idempotencyKey.ts
@@ -2,11 +2,11 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { parse, v7, validate, version } from 'uuid';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import type { RandomSource } from './random.js';
-import { ResultCode } from './resultCode.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import type { RandomSource } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const KEY_BYTES = 16;
 const TIME_BYTES = 6;
--- a/packages/core/src/interimAnswers.ts
+++ b/packages/core/src/calls/interimAnswers.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { CallHeader } from './callHeaders.js';
-import type { Clock, Timer } from './clock.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 
 /** How often a call under way says so, in milliseconds. */
 export const INTERIM_INTERVAL_MS = 300;
--- a/packages/core/src/runningCalls.ts
+++ b/packages/core/src/calls/runningCalls.ts
@@ -1,7 +1,7 @@
-import type { AttemptAllowance } from './attemptAllowance.js';
+import type { AttemptAllowance } from '../attempts/attemptAllowance.js';
 import type { CallContext } from './callContext.js';
-import type { CallPolicy } from './configuration.js';
-import type { CallsBelow } from './callsBelow.js';
+import type { CallPolicy } from '../configuration/configuration.js';
+import type { CallsBelow } from '../admission/callsBelow.js';
 
 /** A call that the target beside this daemon works on. */
 export interface RunningCall {
--- a/packages/core/src/answers.ts
+++ b/packages/core/src/configuration/answers.ts
@@ -3,8 +3,8 @@
 import { z } from 'zod';
 import { checkAnswers } from './checks.js';
 import { importances } from './configuration.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { mapping, readYaml } from './yamlDocument.js';
 import type { YamlSource } from './yamlDocument.js';
 
--- a/packages/core/src/applyChange.ts
+++ b/packages/core/src/configuration/applyChange.ts
@@ -1,15 +1,15 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { Configuration } from './configuration.js';
 import { encodeConfiguration } from './configurationValue.js';
 import { differenceOf } from './difference.js';
 import type { Change } from './difference.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { mintKey } from './idempotencyKey.js';
-import type { RandomSource } from './random.js';
-import { ResultCode } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { mintKey } from '../calls/idempotencyKey.js';
+import type { RandomSource } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import {
   forgetOldRevisions,
   keepRevision,
@@ -19,8 +19,8 @@
   readReplaced,
 } from './revisions.js';
 import type { AcceptedRevision } from './revisions.js';
-import type { Store, StoreEntry } from './store.js';
-import { CONFIGURATION_KEY } from './storeKeys.js';
+import type { Store, StoreEntry } from '../store/store.js';
+import { CONFIGURATION_KEY } from '../store/storeKeys.js';
 
 /** Largest value that the store takes, in bytes, less room for its own fields. */
 const MAX_VALUE_BYTES = 1_000_000;
--- a/packages/core/src/configurationKeeper.ts
+++ b/packages/core/src/configuration/configurationKeeper.ts
@@ -1,15 +1,15 @@
 import { setMaxListeners } from 'node:events';
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { Configuration } from './configuration.js';
 import type { ConfigurationDelta, ConfigurationVersion } from './configurationDelta.js';
 import { ConfigurationLog } from './configurationLog.js';
 import { createConfigurationWatcher } from './configurationWatcher.js';
-import type { Logger } from './logger.js';
-import type { Membership } from './membership.js';
-import { peerAddressOf } from './membershipContext.js';
-import type { PeerAddress, PeerCaller, PeerMethods } from './peer.js';
-import type { RandomSource } from './random.js';
-import type { Store } from './store.js';
+import type { Logger } from '../observability/logger.js';
+import type { Membership } from '../membership/membership.js';
+import { peerAddressOf } from '../membership/membershipContext.js';
+import type { PeerAddress, PeerCaller, PeerMethods } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { Store } from '../store/store.js';
 
 /** Names of the control methods that spread the configuration. */
 export const ConfigurationMethod = {
--- a/packages/core/src/configurationWatcher.ts
+++ b/packages/core/src/configuration/configurationWatcher.ts
@@ -1,12 +1,12 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { Configuration } from './configuration.js';
 import { decodeConfiguration } from './configurationValue.js';
-import { rendezvous } from './hash.js';
-import type { Logger } from './logger.js';
-import type { Membership } from './membership.js';
-import type { RandomSource } from './random.js';
-import type { Store, StoreEntry, Watch } from './store.js';
-import { CONFIGURATION_KEY } from './storeKeys.js';
+import { rendezvous } from '../runtime/hash.js';
+import type { Logger } from '../observability/logger.js';
+import type { Membership } from '../membership/membership.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { Store, StoreEntry, Watch } from '../store/store.js';
+import { CONFIGURATION_KEY } from '../store/storeKeys.js';
 
 /** Daemons of each data centre that watch the store. */
 const WATCHERS_PER_DATA_CENTRE = 2;
--- a/packages/core/src/revisions.ts
+++ b/packages/core/src/configuration/revisions.ts
@@ -2,11 +2,11 @@
 import type { Result } from 'ts-results-es';
 import type { Configuration } from './configuration.js';
 import { decodeConfiguration, encodeConfiguration } from './configurationValue.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
-import type { Store, StoreEntry } from './store.js';
-import { CONFIGURATION_KEY, HISTORY_PREFIX, historyKey } from './storeKeys.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { Store, StoreEntry } from '../store/store.js';
+import { CONFIGURATION_KEY, HISTORY_PREFIX, historyKey } from '../store/storeKeys.js';
 
 /** Replaced revisions that are kept. */
 export const HISTORY_KEPT = 32;
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/configuration/settings.ts
@@ -1,9 +1,9 @@
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
-import type { Failure } from './failure.js';
-import type { LogLevel } from './logger.js';
-import type { PeerAddress } from './peer.js';
-import { ResultCode } from './resultCode.js';
+import type { Failure } from '../runtime/failure.js';
+import type { LogLevel } from '../observability/logger.js';
+import type { PeerAddress } from '../peers/peer.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { mapping, readYaml } from './yamlDocument.js';
 import type { YamlSource } from './yamlDocument.js';
 
--- a/packages/core/src/yamlDocument.ts
+++ b/packages/core/src/configuration/yamlDocument.ts
@@ -3,9 +3,9 @@
 import { LineCounter, isMap, isNode, parseDocument } from 'yaml';
 import type { Document } from 'yaml';
 import { z } from 'zod';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import type { ResultNumber } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 /** Text of a YAML file, with the name that errors give. */
 export interface YamlSource {
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../clock.js';
-import type { Logger } from '../logger.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../observability/logger.js';
 
 /** What a target says of itself. */
 export interface TargetHeartbeat {
--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../clock.js';
-import type { Logger } from '../logger.js';
-import type { PeerCaller, PeerMethods } from '../peer.js';
-import type { RandomSource } from '../random.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../observability/logger.js';
+import type { PeerCaller, PeerMethods } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
 import type { RoutingConfiguration } from '../routes/route.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 import { parseTargetRecord } from './targetRecord.js';
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../clock.js';
-import type { Failure } from '../failure.js';
-import type { Logger } from '../logger.js';
-import type { Store } from '../store.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Failure } from '../runtime/failure.js';
+import type { Logger } from '../observability/logger.js';
+import type { Store } from '../store/store.js';
 import type { TargetRecord } from './targetRecord.js';
 
 /** Time after which the record of a daemon that is gone lapses, in seconds. */
--- a/packages/core/src/directory/targetDirectory.ts
+++ b/packages/core/src/directory/targetDirectory.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../clock.js';
-import type { Logger } from '../logger.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../observability/logger.js';
 import { parseTargetRecord } from './targetRecord.js';
 import type { TargetRecord } from './targetRecord.js';
 
--- a/packages/core/src/forwarding/attemptRegister.ts
+++ b/packages/core/src/forwarding/attemptRegister.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '../runtime/clock.js';
 
 /** What the daemon beside a target says when asked to void an attempt. */
 export type VoidOutcome = 'voided' | 'begun' | 'unknown';
--- a/packages/core/src/forwarding/forwardedRequest.ts
+++ b/packages/core/src/forwarding/forwardedRequest.ts
@@ -1,4 +1,4 @@
-import type { CallHeaders } from '../call.js';
+import type { CallHeaders } from '../calls/call.js';
 
 /** What a caller tells in the headers of a request. */
 export interface CallerFields {
--- a/packages/core/src/forwarding/hopClient.ts
+++ b/packages/core/src/forwarding/hopClient.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'ts-results-es';
-import type { Endpoint } from '../call.js';
-import type { Clock } from '../clock.js';
-import type { Failure } from '../failure.js';
+import type { Endpoint } from '../calls/call.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Failure } from '../runtime/failure.js';
 import { HopConnection } from './hopConnection.js';
 import type { HopAnswer, HopRequest } from './hopMessages.js';
 
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -1,6 +1,6 @@
-import type { CallAnswer, CallHeaders } from '../call.js';
-import type { Importance } from '../configuration.js';
-import type { ResultNumber } from '../resultCode.js';
+import type { CallAnswer, CallHeaders } from '../calls/call.js';
+import type { Importance } from '../configuration/configuration.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 /** A request as one daemon passes it to the daemon beside a target. */
 export interface HopRequest {
--- a/packages/core/src/forwarding/hopSender.ts
+++ b/packages/core/src/forwarding/hopSender.ts
@@ -1,7 +1,7 @@
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Failure } from '../failure.js';
-import type { PeerCaller } from '../peer.js';
+import type { Failure } from '../runtime/failure.js';
+import type { PeerCaller } from '../peers/peer.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
 import type { VoidOutcome } from './attemptRegister.js';
 import type { HopClient } from './hopClient.js';
--- a/packages/core/src/forwarding/hopServer.ts
+++ b/packages/core/src/forwarding/hopServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type { Logger } from '../logger.js';
+import type { Logger } from '../observability/logger.js';
 import { answerFields, readHopFields } from './hopMessages.js';
 import type { HopAnswer, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
--- a/packages/core/src/forwarding/passage.ts
+++ b/packages/core/src/forwarding/passage.ts
@@ -1,10 +1,10 @@
-import type { CallAnswer } from '../call.js';
-import { importances } from '../configuration.js';
-import type { Importance } from '../configuration.js';
-import { isNotRun, isOutcomeUnknown } from '../resultCode.js';
-import type { ResultNumber } from '../resultCode.js';
+import type { CallAnswer } from '../calls/call.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
+import { isNotRun, isOutcomeUnknown } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 import type { Route } from '../routes/route.js';
-import { placeOf } from '../shedLevel.js';
+import { placeOf } from '../admission/shedLevel.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
 import type { TreeContext } from './requestTrees.js';
 
--- a/packages/core/src/forwarding/requestTrees.ts
+++ b/packages/core/src/forwarding/requestTrees.ts
@@ -1,4 +1,4 @@
-import type { Importance } from '../configuration.js';
+import type { Importance } from '../configuration/configuration.js';
 
 /** What a request passes on to the calls that its target makes. */
 export interface TreeContext {
--- a/packages/core/src/forwarding/retryAfter.ts
+++ b/packages/core/src/forwarding/retryAfter.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from '../random.js';
+import type { RandomSource } from '../runtime/random.js';
 
 /** Share of the remaining time that callers wait at most before they come back. */
 const MAX_SHARE_OF_REMAINING = 1 / 3;
--- a/packages/core/src/endToEndHeaders.ts
+++ b/packages/core/src/http/endToEndHeaders.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import type { CallHeaders } from './call.js';
+import type { CallHeaders } from '../calls/call.js';
 
 // Headers that belong to one connection, or that the HTTP library writes itself.
 const connectionHeaders = new Set([
--- a/packages/core/src/endpointConnections.ts
+++ b/packages/core/src/http/endpointConnections.ts
@@ -1,9 +1,9 @@
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
-import type { Endpoint } from './call.js';
-import type { Clock } from './clock.js';
+import type { Endpoint } from '../calls/call.js';
+import type { Clock } from '../runtime/clock.js';
 import type { ConnectionFate, HttpExchange } from './httpExchange.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** Bounds of the connections to one endpoint. */
 export interface ConnectionBounds {
--- a/packages/core/src/httpCallTransport.ts
+++ b/packages/core/src/http/httpCallTransport.ts
@@ -1,14 +1,14 @@
 import type { Result } from 'ts-results-es';
-import { CallTransport } from './call.js';
-import type { CallAnswer, CallRequest, Endpoint, SendBounds } from './call.js';
-import { CallHeader } from './callHeaders.js';
-import type { Clock } from './clock.js';
+import { CallTransport } from '../calls/call.js';
+import type { CallAnswer, CallRequest, Endpoint, SendBounds } from '../calls/call.js';
+import { CallHeader } from '../calls/callHeaders.js';
+import type { Clock } from '../runtime/clock.js';
 import { EndpointConnections } from './endpointConnections.js';
 import type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
-import type { Failure } from './failure.js';
+import type { Failure } from '../runtime/failure.js';
 import { HttpExchange } from './httpExchange.js';
 import type { ExchangeSettings } from './httpExchange.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const SWEEP_INTERVAL_MS = 1000;
 
--- a/packages/core/src/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -2,13 +2,13 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { Dispatcher } from 'undici';
-import type { CallAnswer, CallRequest, SendBounds } from './call.js';
-import type { Clock, Timer } from './clock.js';
+import type { CallAnswer, CallRequest, SendBounds } from '../calls/call.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 import { endToEndHeaders } from './endToEndHeaders.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
-import type { ResultNumber } from './resultCode.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
+import type { ResultNumber } from '../runtime/resultCode.js';
 
 // Lets data that has already arrived be read before a connection is called silent.
 const SILENCE_GRACE_MS = 20;
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/http/httpServer.ts
@@ -4,13 +4,13 @@
 import polka from 'polka';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { answerOfFailure } from './callAnswer.js';
-import { CallHeader } from './callHeaders.js';
-import { systemClock } from './clock.js';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import { answerOfFailure } from '../calls/callAnswer.js';
+import { CallHeader } from '../calls/callHeaders.js';
+import { systemClock } from '../runtime/clock.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** A request that has not arrived whole by then is cut off, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 15_000;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,19 +1,19 @@
-export { systemClock } from './clock.js';
-export type { Clock, Timer } from './clock.js';
-export { ManualClock } from './manualClock.js';
-export { createSeededRandom, systemRandom } from './random.js';
-export type { RandomSource } from './random.js';
+export { systemClock } from './runtime/clock.js';
+export type { Clock, Timer } from './runtime/clock.js';
+export { ManualClock } from './runtime/manualClock.js';
+export { createSeededRandom, systemRandom } from './runtime/random.js';
+export type { RandomSource } from './runtime/random.js';
 export {
   ResultCode,
   httpStatusOf,
   isNotRun,
   isOutcomeUnknown,
   resultNameOf,
-} from './resultCode.js';
-export type { ResultName, ResultNumber } from './resultCode.js';
-export { createFailure } from './failure.js';
-export type { Failure } from './failure.js';
-export { importances } from './configuration.js';
+} from './runtime/resultCode.js';
+export type { ResultName, ResultNumber } from './runtime/resultCode.js';
+export { createFailure } from './runtime/failure.js';
+export type { Failure } from './runtime/failure.js';
+export { importances } from './configuration/configuration.js';
 export type {
   CallPolicy,
   Configuration,
@@ -22,9 +22,9 @@
   LimitKind,
   Objective,
   ServicePolicy,
-} from './configuration.js';
-export { CallHeader } from './callHeaders.js';
-export type { Directory, Member, ShardClaim, TargetState } from './member.js';
+} from './configuration/configuration.js';
+export { CallHeader } from './calls/callHeaders.js';
+export type { Directory, Member, ShardClaim, TargetState } from './membership/member.js';
 export type {
   Admission,
   AdmissionLoad,
@@ -32,82 +32,86 @@
   AdmissionSettings,
   Outcome,
   Permit,
-} from './admission.js';
-export { Store } from './store.js';
-export type { StoreEntry, SwapOutcome, Watch } from './store.js';
-export { PeerServer } from './peerServer.js';
-export { RpcPeerCaller } from './peerCaller.js';
-export type { PeerAddress, PeerCaller, PeerMethod, PeerMethods } from './peer.js';
-export { BodyTooLargeError, closeHttp, listenHttp, readBody } from './httpServer.js';
-export type { HttpAnswer, HttpHandler, HttpMessage, ListeningServer } from './httpServer.js';
-export { CallTransport } from './call.js';
-export type { CallAnswer, CallHeaders, CallRequest, Endpoint, SendBounds } from './call.js';
-export { createLogger, silentLogger } from './logger.js';
-export type { LogFields, Logger, LogLevel } from './logger.js';
-export { ControlMethod } from './control.js';
-export type { DaemonStatus, HistogramMeasure, HistogramRow } from './control.js';
+} from './admission/admission.js';
+export { Store } from './store/store.js';
+export type { StoreEntry, SwapOutcome, Watch } from './store/store.js';
+export { PeerServer } from './peers/peerServer.js';
+export { RpcPeerCaller } from './peers/peerCaller.js';
+export type { PeerAddress, PeerCaller, PeerMethod, PeerMethods } from './peers/peer.js';
+export { BodyTooLargeError, closeHttp, listenHttp, readBody } from './http/httpServer.js';
+export type { HttpAnswer, HttpHandler, HttpMessage, ListeningServer } from './http/httpServer.js';
+export { CallTransport } from './calls/call.js';
+export type { CallAnswer, CallHeaders, CallRequest, Endpoint, SendBounds } from './calls/call.js';
+export { createLogger, silentLogger } from './observability/logger.js';
+export type { LogFields, Logger, LogLevel } from './observability/logger.js';
+export { ControlMethod } from './observability/control.js';
+export type { DaemonStatus, HistogramMeasure, HistogramRow } from './observability/control.js';
 export { Err, Ok } from 'ts-results-es';
 export type { Result } from 'ts-results-es';
-export { createSupervisor } from './supervisor.js';
-export type { Part, Supervisor, SupervisorOptions } from './supervisor.js';
-export { createHistograms } from './histograms.js';
-export type { CallRecord, Histograms } from './histograms.js';
-export { createTargetLifecycle } from './targetLifecycle.js';
-export type { TargetEvent, TargetLifecycle } from './targetLifecycle.js';
-export { ANNOUNCEMENT_RENEWAL_MS, createTargetRegistry } from './targetRegistry.js';
-export type { Announcement, TargetRegistry, TargetRegistryOptions } from './targetRegistry.js';
-export { decodeHop, encodeHop } from './callContext.js';
-export type { CallContext, HopContext } from './callContext.js';
-export { answerOfFailure, codeOfAnswer, passedHeaders } from './callAnswer.js';
-export { createRunningCalls } from './runningCalls.js';
-export type { RunningCall, RunningCalls } from './runningCalls.js';
-export { createTargetChooser } from './targetChooser.js';
-export type { TargetChooser, TargetChooserOptions } from './targetChooser.js';
-export { createTargetRouter } from './targetRouter.js';
-export type { TargetRouter, TargetRouterOptions } from './targetRouter.js';
-export { createCallOrigins } from './callOrigin.js';
-export type { CallOrigin, CallOriginOptions } from './callOrigin.js';
-export { createGateway } from './gateway.js';
-export type { Gateway, GatewayOptions } from './gateway.js';
-export { createGuard } from './guard.js';
-export type { Guard, GuardOptions, OneShotRunner } from './guard.js';
-export { MemoryDatabase } from './memoryDatabase.js';
-export type { StoreChange } from './memoryDatabase.js';
-export { MemoryStore } from './memoryStore.js';
-export type { LostWriteEffect, StoreCounts } from './memoryStore.js';
-export { AttemptAllowance, MAX_ATTEMPT_TOKENS, parseTokens } from './attemptAllowance.js';
-export { RETRY_RATIO, RetryBudget, SPARE_RETRIES } from './retryBudget.js';
-export { backoffMs } from './backoff.js';
-export { mayRetry } from './retryDecision.js';
-export type { RetryCase } from './retryDecision.js';
+export { createSupervisor } from './runtime/supervisor.js';
+export type { Part, Supervisor, SupervisorOptions } from './runtime/supervisor.js';
+export { createHistograms } from './observability/histograms.js';
+export type { CallRecord, Histograms } from './observability/histograms.js';
+export { createTargetLifecycle } from './membership/targetLifecycle.js';
+export type { TargetEvent, TargetLifecycle } from './membership/targetLifecycle.js';
+export { ANNOUNCEMENT_RENEWAL_MS, createTargetRegistry } from './membership/targetRegistry.js';
+export type {
+  Announcement,
+  TargetRegistry,
+  TargetRegistryOptions,
+} from './membership/targetRegistry.js';
+export { decodeHop, encodeHop } from './calls/callContext.js';
+export type { CallContext, HopContext } from './calls/callContext.js';
+export { answerOfFailure, codeOfAnswer, passedHeaders } from './calls/callAnswer.js';
+export { createRunningCalls } from './calls/runningCalls.js';
+export type { RunningCall, RunningCalls } from './calls/runningCalls.js';
+export { createTargetChooser } from './membership/targetChooser.js';
+export type { TargetChooser, TargetChooserOptions } from './membership/targetChooser.js';
+export { createTargetRouter } from './membership/targetRouter.js';
+export type { TargetRouter, TargetRouterOptions } from './membership/targetRouter.js';
+export { createCallOrigins } from './calls/callOrigin.js';
+export type { CallOrigin, CallOriginOptions } from './calls/callOrigin.js';
+export { createGateway } from './calls/gateway.js';
+export type { Gateway, GatewayOptions } from './calls/gateway.js';
+export { createGuard } from './calls/guard.js';
+export type { Guard, GuardOptions, OneShotRunner } from './calls/guard.js';
+export { MemoryDatabase } from './store/memoryDatabase.js';
+export type { StoreChange } from './store/memoryDatabase.js';
+export { MemoryStore } from './store/memoryStore.js';
+export type { LostWriteEffect, StoreCounts } from './store/memoryStore.js';
+export { AttemptAllowance, MAX_ATTEMPT_TOKENS, parseTokens } from './attempts/attemptAllowance.js';
+export { RETRY_RATIO, RetryBudget, SPARE_RETRIES } from './attempts/retryBudget.js';
+export { backoffMs } from './attempts/backoff.js';
+export { mayRetry } from './attempts/retryDecision.js';
+export type { RetryCase } from './attempts/retryDecision.js';
 export {
   HOP_COST_MS,
   MAX_DEADLINE_MS,
   deadlineAt,
   parseDeadlineMs,
   remainingForHopMs,
-} from './deadline.js';
-export { createDirectoryClient } from './directoryClient.js';
-export type { DirectoryClient, DirectoryClientOptions } from './directoryClient.js';
-export { DIRECTORY_VIEW_METHOD, serveDirectoryViews } from './directoryView.js';
-export type { DirectoryQuery, DirectoryView } from './directoryView.js';
-export { createEmbeddedCaller } from './embeddedCaller.js';
-export type { CallOptions, EmbeddedCaller, EmbeddedCallerOptions } from './embeddedCaller.js';
-export { AimdLimit } from './aimdLimit.js';
-export { AdaptiveLimit } from './adaptiveLimit.js';
-export type { LatencyRound, LimitBounds } from './adaptiveLimit.js';
-export { createCallerShedding } from './callerShedding.js';
-export type { CallerShedding } from './callerShedding.js';
-export { ConcurrencyLimit } from './concurrencyLimit.js';
-export type { LimitSample } from './concurrencyLimit.js';
-export { FixedLimit } from './fixedLimit.js';
-export { GradientLimit } from './gradientLimit.js';
-export { PLACE_COUNT, placeOf } from './shedLevel.js';
-export { createAdmission } from './targetAdmission.js';
-export type { AdaptiveLimitFactory, AdmissionParts } from './targetAdmission.js';
-export { UnlimitedLimit } from './unlimitedLimit.js';
-export { VegasLimit } from './vegasLimit.js';
-export { decodeBase64, encodeBase64, prefixEnd } from './etcdMessages.js';
+} from './calls/deadline.js';
+export { createDirectoryClient } from './membership/directoryClient.js';
+export type { DirectoryClient, DirectoryClientOptions } from './membership/directoryClient.js';
+export { DIRECTORY_VIEW_METHOD, serveDirectoryViews } from './membership/directoryView.js';
+export type { DirectoryQuery, DirectoryView } from './membership/directoryView.js';
+export { createEmbeddedCaller } from './calls/embeddedCaller.js';
+export type { CallOptions, EmbeddedCaller, EmbeddedCallerOptions } from './calls/embeddedCaller.js';
+export { AimdLimit } from './admission/aimdLimit.js';
+export { AdaptiveLimit } from './admission/adaptiveLimit.js';
+export type { LatencyRound, LimitBounds } from './admission/adaptiveLimit.js';
+export { createCallerShedding } from './admission/callerShedding.js';
+export type { CallerShedding } from './admission/callerShedding.js';
+export { ConcurrencyLimit } from './admission/concurrencyLimit.js';
+export type { LimitSample } from './admission/concurrencyLimit.js';
+export { FixedLimit } from './admission/fixedLimit.js';
+export { GradientLimit } from './admission/gradientLimit.js';
+export { PLACE_COUNT, placeOf } from './admission/shedLevel.js';
+export { createAdmission } from './admission/targetAdmission.js';
+export type { AdaptiveLimitFactory, AdmissionParts } from './admission/targetAdmission.js';
+export { UnlimitedLimit } from './admission/unlimitedLimit.js';
+export { VegasLimit } from './admission/vegasLimit.js';
+export { decodeBase64, encodeBase64, prefixEnd } from './store/etcdMessages.js';
 export type {
   EtcdCompare,
   EtcdEvent,
@@ -124,74 +128,93 @@
   EtcdTransactionResponse,
   EtcdWatchRequest,
   EtcdWatchResponse,
-} from './etcdMessages.js';
-export { createMembership } from './membership.js';
-export type { Membership, MembershipOptions } from './membership.js';
-export type { MemberChange } from './memberRecords.js';
-export type { Carried } from './membershipContext.js';
-export { rendezvous, rendezvousScore } from './hash.js';
-export { deriveKey, mintKey, readKey, shardOf, timeOfKey } from './idempotencyKey.js';
-export { createOneShot, settleNotHome } from './oneShot.js';
-export type { OneShot, OneShotOptions, ShardStatus } from './oneShot.js';
-export { defaultOneShotTiming } from './oneShotTiming.js';
-export type { OneShotTiming } from './oneShotTiming.js';
-export { AnswerTable, defaultAnswerTableLimits } from './answerTable.js';
-export type { AnswerTableLimits, CallOutcome } from './answerTable.js';
-export { ShardHome, createShardHome } from './shardHome.js';
-export type { Execute, ExecutionBounds, ShardHomeFactory, ShardHomeOptions } from './shardHome.js';
-export { ShardDeputy, createShardDeputy } from './shardDeputy.js';
-export type { ShardDeputyFactory } from './shardDeputy.js';
-export { ShardRecords } from './shardRecord.js';
-export type { Holder, ShardRecord, ShardState } from './shardRecord.js';
-export { createHomeLocator } from './homeLocator.js';
-export type { HomeLocator } from './homeLocator.js';
-export { sleepByTimer } from './timerSleep.js';
-export { leavingAudience } from './leavingAudience.js';
-export { chooseTargetSubset, createTargetSubsets, defaultSubsetSize } from './targetSubset.js';
-export type { CallingHost, SubsetSize, TargetSubsets } from './targetSubset.js';
-export { createConfigurationKeeper } from './configurationKeeper.js';
-export type { ConfigurationKeeper, ConfigurationKeeperOptions } from './configurationKeeper.js';
-export { createBootstrapKeeper, readBootstrapAddresses } from './bootstrapAddresses.js';
-export type { BootstrapKeeper, BootstrapKeeperOptions } from './bootstrapAddresses.js';
-export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './storeKeys.js';
-export { HttpCallTransport, defaultConnectionBounds } from './httpCallTransport.js';
-export type { HttpTransportSettings } from './httpCallTransport.js';
-export type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
-export { INTERIM_INTERVAL_MS, MAX_SILENCE_MS, startInterimAnswers } from './interimAnswers.js';
-export type { InterimAnswers } from './interimAnswers.js';
-export { EtcdStore } from './etcdStore.js';
-export { MembershipMethod, peerAddressOf } from './membershipContext.js';
-export { applyConfigurationDelta, createConfigurationDelta } from './configurationDelta.js';
-export type { ConfigurationDelta } from './configurationDelta.js';
-export type { EtcdStoreOptions } from './etcdStore.js';
-export { createLevelBelow } from './levelBelow.js';
-export type { LevelBelowOptions } from './levelBelow.js';
-export { readAnswers } from './answers.js';
-export type { Answers, CallAnswers, ServiceAnswers } from './answers.js';
-export { generateConfiguration } from './generate.js';
-export { differenceOf, textOfChange } from './difference.js';
-export type { Change } from './difference.js';
-export { explainCall, shedOrderOf } from './explain.js';
-export type { Explanation, RootCall, ShedStep } from './explain.js';
-export { readSettings } from './settings.js';
-export type { Settings } from './settings.js';
-export type { YamlSource } from './yamlDocument.js';
-export { applyConfiguration } from './applyChange.js';
-export type { ApplyOptions, ApplyOutcome } from './applyChange.js';
-export { HISTORY_KEPT, readAccepted, readHistory } from './revisions.js';
-export type { AcceptedRevision } from './revisions.js';
-export { ShardKeeper } from './shardKeeper.js';
-export type { ShardKeeperOptions } from './shardContext.js';
-export { readInstant } from './oneShotTiming.js';
-export type { Instant } from './oneShotTiming.js';
-export { reassignShard } from './reassignShard.js';
-export type { Reassignment } from './reassignShard.js';
-export { decodeConfiguration, encodeConfiguration } from './configurationValue.js';
-export { RUMOUR_TRANSMISSIONS, RumourQueue } from './rumourQueue.js';
-export type { MemberNews } from './memberNews.js';
-export { ConfigurationMethod } from './configurationKeeper.js';
-export { createCallRouting } from './callRouting.js';
-export type { CallRouting, CallRoutingOptions } from './callRouting.js';
+} from './store/etcdMessages.js';
+export { createMembership } from './membership/membership.js';
+export type { Membership, MembershipOptions } from './membership/membership.js';
+export type { MemberChange } from './membership/memberRecords.js';
+export type { Carried } from './membership/membershipContext.js';
+export { rendezvous, rendezvousScore } from './runtime/hash.js';
+export { deriveKey, mintKey, readKey, shardOf, timeOfKey } from './calls/idempotencyKey.js';
+export { createOneShot, settleNotHome } from './atMostOnce/oneShot.js';
+export type { OneShot, OneShotOptions, ShardStatus } from './atMostOnce/oneShot.js';
+export { defaultOneShotTiming } from './atMostOnce/oneShotTiming.js';
+export type { OneShotTiming } from './atMostOnce/oneShotTiming.js';
+export { AnswerTable, defaultAnswerTableLimits } from './atMostOnce/answerTable.js';
+export type { AnswerTableLimits, CallOutcome } from './atMostOnce/answerTable.js';
+export { ShardHome, createShardHome } from './atMostOnce/shardHome.js';
+export type {
+  Execute,
+  ExecutionBounds,
+  ShardHomeFactory,
+  ShardHomeOptions,
+} from './atMostOnce/shardHome.js';
+export { ShardDeputy, createShardDeputy } from './atMostOnce/shardDeputy.js';
+export type { ShardDeputyFactory } from './atMostOnce/shardDeputy.js';
+export { ShardRecords } from './atMostOnce/shardRecord.js';
+export type { Holder, ShardRecord, ShardState } from './atMostOnce/shardRecord.js';
+export { createHomeLocator } from './atMostOnce/homeLocator.js';
+export type { HomeLocator } from './atMostOnce/homeLocator.js';
+export { sleepByTimer } from './runtime/timerSleep.js';
+export { leavingAudience } from './membership/leavingAudience.js';
+export {
+  chooseTargetSubset,
+  createTargetSubsets,
+  defaultSubsetSize,
+} from './membership/targetSubset.js';
+export type { CallingHost, SubsetSize, TargetSubsets } from './membership/targetSubset.js';
+export { createConfigurationKeeper } from './configuration/configurationKeeper.js';
+export type {
+  ConfigurationKeeper,
+  ConfigurationKeeperOptions,
+} from './configuration/configurationKeeper.js';
+export { createBootstrapKeeper, readBootstrapAddresses } from './membership/bootstrapAddresses.js';
+export type { BootstrapKeeper, BootstrapKeeperOptions } from './membership/bootstrapAddresses.js';
+export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './store/storeKeys.js';
+export { HttpCallTransport, defaultConnectionBounds } from './http/httpCallTransport.js';
+export type { HttpTransportSettings } from './http/httpCallTransport.js';
+export type { ConnectionBounds, ConnectionCounts } from './http/endpointConnections.js';
+export {
+  INTERIM_INTERVAL_MS,
+  MAX_SILENCE_MS,
+  startInterimAnswers,
+} from './calls/interimAnswers.js';
+export type { InterimAnswers } from './calls/interimAnswers.js';
+export { EtcdStore } from './store/etcdStore.js';
+export { MembershipMethod, peerAddressOf } from './membership/membershipContext.js';
+export {
+  applyConfigurationDelta,
+  createConfigurationDelta,
+} from './configuration/configurationDelta.js';
+export type { ConfigurationDelta } from './configuration/configurationDelta.js';
+export type { EtcdStoreOptions } from './store/etcdStore.js';
+export { createLevelBelow } from './admission/levelBelow.js';
+export type { LevelBelowOptions } from './admission/levelBelow.js';
+export { readAnswers } from './configuration/answers.js';
+export type { Answers, CallAnswers, ServiceAnswers } from './configuration/answers.js';
+export { generateConfiguration } from './configuration/generate.js';
+export { differenceOf, textOfChange } from './configuration/difference.js';
+export type { Change } from './configuration/difference.js';
+export { explainCall, shedOrderOf } from './configuration/explain.js';
+export type { Explanation, RootCall, ShedStep } from './configuration/explain.js';
+export { readSettings } from './configuration/settings.js';
+export type { Settings } from './configuration/settings.js';
+export type { YamlSource } from './configuration/yamlDocument.js';
+export { applyConfiguration } from './configuration/applyChange.js';
+export type { ApplyOptions, ApplyOutcome } from './configuration/applyChange.js';
+export { HISTORY_KEPT, readAccepted, readHistory } from './configuration/revisions.js';
+export type { AcceptedRevision } from './configuration/revisions.js';
+export { ShardKeeper } from './atMostOnce/shardKeeper.js';
+export type { ShardKeeperOptions } from './atMostOnce/shardContext.js';
+export { readInstant } from './atMostOnce/oneShotTiming.js';
+export type { Instant } from './atMostOnce/oneShotTiming.js';
+export { reassignShard } from './atMostOnce/reassignShard.js';
+export type { Reassignment } from './atMostOnce/reassignShard.js';
+export { decodeConfiguration, encodeConfiguration } from './configuration/configurationValue.js';
+export { RUMOUR_TRANSMISSIONS, RumourQueue } from './membership/rumourQueue.js';
+export type { MemberNews } from './membership/memberNews.js';
+export { ConfigurationMethod } from './configuration/configurationKeeper.js';
+export { createCallRouting } from './calls/callRouting.js';
+export type { CallRouting, CallRoutingOptions } from './calls/callRouting.js';
 export type {
   IngressLimits,
   Route,
@@ -208,10 +231,10 @@
 export { LocalTarget } from './directory/localTarget.js';
 export type { LocalTargetState, TargetHeartbeat } from './directory/localTarget.js';
 export { TargetAnnouncer } from './directory/targetAnnouncer.js';
-export { Counters } from './counters.js';
-export { metricsText } from './metricsText.js';
+export { Counters } from './observability/counters.js';
+export { metricsText } from './observability/metricsText.js';
 export { PeerExchange } from './directory/peerExchange.js';
-export { createBoundedLogger } from './boundedLogger.js';
+export { createBoundedLogger } from './observability/boundedLogger.js';
 export { HeaderDialect } from './forwarding/forwardedRequest.js';
 export type {
   AnswerVerdict,
@@ -235,5 +258,5 @@
 export { InnerFailures } from './placement/innerFailures.js';
 export { RouteLevels } from './placement/routeLevels.js';
 export { TargetPlacement } from './placement/targetPlacement.js';
-export { endToEndHeaders } from './endToEndHeaders.js';
-export { mapping, readYaml } from './yamlDocument.js';
+export { endToEndHeaders } from './http/endToEndHeaders.js';
+export { mapping, readYaml } from './configuration/yamlDocument.js';
--- a/packages/core/src/antiEntropy.ts
+++ b/packages/core/src/membership/antiEntropy.ts
@@ -3,7 +3,7 @@
 import type { VersionEntry } from './memberTable.js';
 import { MembershipMethod, peerAddressOf } from './membershipContext.js';
 import type { MembershipContext } from './membershipContext.js';
-import type { PeerAddress } from './peer.js';
+import type { PeerAddress } from '../peers/peer.js';
 
 /** How long an answer with a part of a table may take, in milliseconds. */
 const TABLE_TIMEOUT_MS = 3000;
--- a/packages/core/src/bootstrapAddresses.ts
+++ b/packages/core/src/membership/bootstrapAddresses.ts
@@ -1,13 +1,13 @@
-import type { Clock } from './clock.js';
-import { rendezvous } from './hash.js';
-import type { Logger } from './logger.js';
+import type { Clock } from '../runtime/clock.js';
+import { rendezvous } from '../runtime/hash.js';
+import type { Logger } from '../observability/logger.js';
 import type { Member } from './member.js';
 import type { Membership } from './membership.js';
 import { peerAddressOf } from './membershipContext.js';
-import type { PeerAddress } from './peer.js';
-import type { RandomSource } from './random.js';
-import type { Store, StoreEntry } from './store.js';
-import { BOOTSTRAP_PREFIX, bootstrapKey } from './storeKeys.js';
+import type { PeerAddress } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { Store, StoreEntry } from '../store/store.js';
+import { BOOTSTRAP_PREFIX, bootstrapKey } from '../store/storeKeys.js';
 
 /** Bootstrap addresses of each data centre. */
 const ADDRESSES_PER_DATA_CENTRE = 3;
--- a/packages/core/src/directoryClient.ts
+++ b/packages/core/src/membership/directoryClient.ts
@@ -1,11 +1,11 @@
-import type { Clock } from './clock.js';
-import type { Configuration } from './configuration.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Configuration } from '../configuration/configuration.js';
 import { DIRECTORY_VIEW_METHOD } from './directoryView.js';
 import type { DirectoryQuery, DirectoryView } from './directoryView.js';
-import type { Logger } from './logger.js';
+import type { Logger } from '../observability/logger.js';
 import type { Directory, Member } from './member.js';
-import type { PeerAddress, PeerCaller } from './peer.js';
-import type { RandomSource } from './random.js';
+import type { PeerAddress, PeerCaller } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
 
 const REFRESH_INTERVAL_MS = 1000;
 const VIEW_TIMEOUT_MS = 1000;
--- a/packages/core/src/directoryView.ts
+++ b/packages/core/src/membership/directoryView.ts
@@ -1,7 +1,7 @@
-import type { Configuration } from './configuration.js';
-import { hashText } from './hash.js';
+import type { Configuration } from '../configuration/configuration.js';
+import { hashText } from '../runtime/hash.js';
 import type { Directory, Member } from './member.js';
-import type { PeerMethods } from './peer.js';
+import type { PeerMethods } from '../peers/peer.js';
 
 /** Control method by which embedded callers learn targets and configuration. */
 export const DIRECTORY_VIEW_METHOD = 'directory.view';
--- a/packages/core/src/failureDetector.ts
+++ b/packages/core/src/membership/failureDetector.ts
@@ -3,7 +3,7 @@
 import { EXCHANGE_TIMEOUT_MS } from './memberExchange.js';
 import { MembershipMethod, peerAddressOf } from './membershipContext.js';
 import type { MembershipContext } from './membershipContext.js';
-import type { PeerAddress } from './peer.js';
+import type { PeerAddress } from '../peers/peer.js';
 
 /** Tries before others are asked. A try that times out takes its connection with it. */
 const DIRECT_TRIES = 3;
--- a/packages/core/src/leavingAudience.ts
+++ b/packages/core/src/membership/leavingAudience.ts
@@ -1,4 +1,4 @@
-import type { Configuration } from './configuration.js';
+import type { Configuration } from '../configuration/configuration.js';
 import type { Directory, Member } from './member.js';
 import { chooseTargetSubset, defaultSubsetSize } from './targetSubset.js';
 import type { SubsetSize } from './targetSubset.js';
--- a/packages/core/src/memberExchange.ts
+++ b/packages/core/src/membership/memberExchange.ts
@@ -3,7 +3,7 @@
 import type { MemberNews } from './memberNews.js';
 import { MembershipMethod, peerAddressOf } from './membershipContext.js';
 import type { Carried, MembershipContext } from './membershipContext.js';
-import type { PeerAddress } from './peer.js';
+import type { PeerAddress } from '../peers/peer.js';
 
 /** How long an answer to an exchange may take, in milliseconds. */
 export const EXCHANGE_TIMEOUT_MS = 1000;
--- a/packages/core/src/memberJoin.ts
+++ b/packages/core/src/membership/memberJoin.ts
@@ -2,7 +2,7 @@
 import type { MemberExchange } from './memberExchange.js';
 import { isFinal } from './memberTable.js';
 import type { MembershipContext } from './membershipContext.js';
-import type { PeerAddress } from './peer.js';
+import type { PeerAddress } from '../peers/peer.js';
 
 /** Age at which the bootstrap addresses are read again, in milliseconds. */
 const BOOTSTRAP_AGE_MS = 6 * 60 * 60 * 1000;
--- a/packages/core/src/memberRecords.ts
+++ b/packages/core/src/membership/memberRecords.ts
@@ -1,10 +1,10 @@
-import type { Clock } from './clock.js';
-import type { Logger } from './logger.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../observability/logger.js';
 import type { Member } from './member.js';
 import { FINAL_VERSION, incarnationOf, isUsable, versionOf } from './memberNews.js';
 import type { MemberNews } from './memberNews.js';
 import { MemberTable } from './memberTable.js';
-import type { PeerAddress } from './peer.js';
+import type { PeerAddress } from '../peers/peer.js';
 import { RumourQueue } from './rumourQueue.js';
 
 /** What a daemon may change in its own record. */
--- a/packages/core/src/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -1,8 +1,8 @@
-import { hashText } from './hash.js';
+import { hashText } from '../runtime/hash.js';
 import type { Member } from './member.js';
 import { FINAL_VERSION } from './memberNews.js';
 import type { GoneNews, MemberNews } from './memberNews.js';
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '../runtime/random.js';
 
 /** Number of buckets that a table is compared by. */
 export const BUCKET_COUNT = 256;
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,8 +1,8 @@
 import { setMaxListeners } from 'node:events';
 import { createAntiEntropy } from './antiEntropy.js';
-import type { Clock, Timer } from './clock.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 import { createFailureDetector } from './failureDetector.js';
-import type { Logger } from './logger.js';
+import type { Logger } from '../observability/logger.js';
 import type { Directory, Member } from './member.js';
 import { createMemberExchange } from './memberExchange.js';
 import type { ExchangeOutcome } from './memberExchange.js';
@@ -13,8 +13,8 @@
 import type { MemberChange } from './memberRecords.js';
 import { peerAddressOf } from './membershipContext.js';
 import type { Carried, MembershipContext } from './membershipContext.js';
-import type { PeerAddress, PeerCaller, PeerMethods } from './peer.js';
-import type { RandomSource } from './random.js';
+import type { PeerAddress, PeerCaller, PeerMethods } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
 
 /** Time between two exchanges with a random member, in milliseconds. */
 const EXCHANGE_INTERVAL_MS = 1000;
--- a/packages/core/src/membershipContext.ts
+++ b/packages/core/src/membership/membershipContext.ts
@@ -1,10 +1,10 @@
-import type { Clock } from './clock.js';
-import type { Logger } from './logger.js';
+import type { Clock } from '../runtime/clock.js';
+import type { Logger } from '../observability/logger.js';
 import type { Member } from './member.js';
 import type { MemberNews } from './memberNews.js';
 import type { MemberTable } from './memberTable.js';
-import type { PeerAddress, PeerCaller, PeerMethods } from './peer.js';
-import type { RandomSource } from './random.js';
+import type { PeerAddress, PeerCaller, PeerMethods } from '../peers/peer.js';
+import type { RandomSource } from '../runtime/random.js';
 import type { RumourQueue } from './rumourQueue.js';
 
 /** Names of the control methods of membership. */
--- a/packages/core/src/targetChooser.ts
+++ b/packages/core/src/membership/targetChooser.ts
@@ -1,6 +1,6 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { Member } from './member.js';
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '../runtime/random.js';
 
 /** How many calls in flight a target elsewhere must be ahead by before it is preferred. */
 const REMOTE_PENALTY = 4;
--- a/packages/core/src/targetRegistry.ts
+++ b/packages/core/src/membership/targetRegistry.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Clock, Timer } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
+import type { Clock, Timer } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
 import type { TargetState } from './member.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { createTargetLifecycle } from './targetLifecycle.js';
 
 /** How often a target is asked to renew its announcement, in milliseconds. */
--- a/packages/core/src/targetSubset.ts
+++ b/packages/core/src/membership/targetSubset.ts
@@ -1,4 +1,4 @@
-import { rendezvous } from './hash.js';
+import { rendezvous } from '../runtime/hash.js';
 import type { Directory, Member } from './member.js';
 
 /** The host that chooses among targets. */
--- a/packages/core/src/boundedLogger.ts
+++ b/packages/core/src/observability/boundedLogger.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { LogLevel, Logger } from './logger.js';
 
 /** Lines of one message that are written per second. */
--- a/packages/core/src/control.ts
+++ b/packages/core/src/observability/control.ts
@@ -1,6 +1,6 @@
-import type { AdmissionLoad } from './admission.js';
-import type { Importance } from './configuration.js';
-import type { Member } from './member.js';
+import type { AdmissionLoad } from '../admission/admission.js';
+import type { Importance } from '../configuration/configuration.js';
+import type { Member } from '../membership/member.js';
 
 /** Names of the control methods that operators call at a daemon. */
 export const ControlMethod = {
--- a/packages/core/src/histograms.ts
+++ b/packages/core/src/observability/histograms.ts
@@ -1,7 +1,7 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import type { HistogramMeasure, HistogramRow } from './control.js';
-import type { Importance } from './configuration.js';
+import type { Importance } from '../configuration/configuration.js';
 
 const MAX_CALLERS = 64;
 const OTHER_CALLERS = 'other';
--- a/packages/core/src/peerCaller.ts
+++ b/packages/core/src/peers/peerCaller.ts
@@ -3,10 +3,10 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Agent, request } from 'undici';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
 import type { PeerAddress, PeerCaller } from './peer.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 10_000;
--- a/packages/core/src/peerServer.ts
+++ b/packages/core/src/peers/peerServer.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import type { JSONRPCRequest } from 'json-rpc-2.0';
-import { closeHttp, listenHttp } from './httpServer.js';
+import { closeHttp, listenHttp } from '../http/httpServer.js';
 import type { PeerMethod, PeerMethods } from './peer.js';
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
--- a/packages/core/src/placement/innerFailures.ts
+++ b/packages/core/src/placement/innerFailures.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../clock.js';
-import { importances } from '../configuration.js';
-import type { Importance } from '../configuration.js';
-import { PLACES_PER_IMPORTANCE } from '../shedLevel.js';
+import type { Clock } from '../runtime/clock.js';
+import { importances } from '../configuration/configuration.js';
+import type { Importance } from '../configuration/configuration.js';
+import { PLACES_PER_IMPORTANCE } from '../admission/shedLevel.js';
 
 /** Weight of the newest call in the share of failures. */
 const NEWEST_WEIGHT = 0.05;
--- a/packages/core/src/placement/routeLevels.ts
+++ b/packages/core/src/placement/routeLevels.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { RequestTrees } from '../forwarding/requestTrees.js';
-import type { RandomSource } from '../random.js';
-import { PLACE_COUNT } from '../shedLevel.js';
+import type { RandomSource } from '../runtime/random.js';
+import { PLACE_COUNT } from '../admission/shedLevel.js';
 import type { InnerFailures } from './innerFailures.js';
 
 /** How long a level counts in full; answers of a route come a few times a second. */
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -1,8 +1,8 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '../runtime/clock.js';
 import type { KnownTarget, TargetDirectory } from '../directory/targetDirectory.js';
 import type { HopAnswer, TargetLoad } from '../forwarding/hopMessages.js';
-import type { RandomSource } from '../random.js';
-import { ResultCode } from '../resultCode.js';
+import type { RandomSource } from '../runtime/random.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** Share of the slots up to which a target is taken to answer without a wait. */
 const COMFORTABLE_SHARE = 0.85;
--- a/packages/core/src/routes/route.ts
+++ b/packages/core/src/routes/route.ts
@@ -1,4 +1,4 @@
-import type { Execution } from '../configuration.js';
+import type { Execution } from '../configuration/configuration.js';
 
 /** A service that takes part of a route's requests. */
 export interface RouteShare {
--- a/packages/core/src/routes/routingKeeper.ts
+++ b/packages/core/src/routes/routingKeeper.ts
@@ -1,5 +1,5 @@
-import type { Logger } from '../logger.js';
-import type { RandomSource } from '../random.js';
+import type { Logger } from '../observability/logger.js';
+import type { RandomSource } from '../runtime/random.js';
 import type { Route, RoutingConfiguration } from './route.js';
 import { RouteTable } from './routeTable.js';
 import { WeightedSplit } from './weightedSplit.js';
--- a/packages/core/src/supervisor.ts
+++ b/packages/core/src/runtime/supervisor.ts
@@ -1,5 +1,5 @@
 import type { Clock } from './clock.js';
-import type { Logger } from './logger.js';
+import type { Logger } from '../observability/logger.js';
 import type { RandomSource } from './random.js';
 
 const RESTART_BASE_MS = 100;
--- a/packages/core/src/taskGroup.ts
+++ b/packages/core/src/runtime/taskGroup.ts
@@ -1,5 +1,5 @@
 import type { Clock } from './clock.js';
-import type { Logger } from './logger.js';
+import type { Logger } from '../observability/logger.js';
 
 /** Tasks that end together. */
 export class TaskGroup {
--- a/packages/core/src/etcdClient.ts
+++ b/packages/core/src/store/etcdClient.ts
@@ -1,10 +1,10 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Pool } from 'undici';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
-import { ResultCode } from './resultCode.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
+import { ResultCode } from '../runtime/resultCode.js';
 
 /** Connections to one endpoint. */
 const CONNECTIONS_PER_ENDPOINT = 4;
--- a/packages/core/src/etcdStore.ts
+++ b/packages/core/src/store/etcdStore.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import type { Clock } from './clock.js';
+import type { Clock } from '../runtime/clock.js';
 import { EtcdClient } from './etcdClient.js';
 import { decodeBase64, encodeBase64, prefixEnd } from './etcdMessages.js';
 import type {
@@ -13,8 +13,8 @@
 } from './etcdMessages.js';
 import { EtcdWatch } from './etcdWatch.js';
 import type { Listing } from './etcdWatch.js';
-import type { Failure } from './failure.js';
-import type { RandomSource } from './random.js';
+import type { Failure } from '../runtime/failure.js';
+import type { RandomSource } from '../runtime/random.js';
 import { Store } from './store.js';
 import type { StoreEntry, SwapOutcome, Watch } from './store.js';
 
--- a/packages/core/src/etcdWatch.ts
+++ b/packages/core/src/store/etcdWatch.ts
@@ -1,5 +1,5 @@
 import { Client } from 'undici';
-import type { Clock, Timer } from './clock.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 import { decodeBase64, encodeBase64, prefixEnd } from './etcdMessages.js';
 import type {
   EtcdEvent,
@@ -7,7 +7,7 @@
   EtcdWatchRequest,
   EtcdWatchResponse,
 } from './etcdMessages.js';
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '../runtime/random.js';
 import type { StoreEntry, Watch } from './store.js';
 
 const FIRST_BACKOFF_MS = 100;
--- a/packages/core/src/memoryDatabase.ts
+++ b/packages/core/src/store/memoryDatabase.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from './clock.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 import { LeaseNotFoundError } from './leaseNotFoundError.js';
 import type { StoreEntry, SwapOutcome } from './store.js';
 
--- a/packages/core/src/memoryStore.ts
+++ b/packages/core/src/store/memoryStore.ts
@@ -1,11 +1,11 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import type { Clock } from './clock.js';
-import { createFailure } from './failure.js';
-import type { Failure } from './failure.js';
+import type { Clock } from '../runtime/clock.js';
+import { createFailure } from '../runtime/failure.js';
+import type { Failure } from '../runtime/failure.js';
 import { LeaseNotFoundError } from './leaseNotFoundError.js';
 import { MemoryDatabase } from './memoryDatabase.js';
-import { ResultCode } from './resultCode.js';
+import { ResultCode } from '../runtime/resultCode.js';
 import { Store } from './store.js';
 import type { StoreEntry, SwapOutcome, Watch } from './store.js';
 
