--- a/packages/core/src/atMostOnce/handover.ts
+++ b/packages/core/src/atMostOnce/handover.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { AnswerTable, TableRow } from './answerTable.js';
 import type { Holder } from './shardRecord.js';
 import { OneShotMethod } from './pledge.js';
--- a/packages/core/src/atMostOnce/pledge.ts
+++ b/packages/core/src/atMostOnce/pledge.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PeerCaller } from '../peers/peer.js';
 import type { Holder } from './shardRecord.js';
 
--- a/packages/core/src/atMostOnce/shardRecord.ts
+++ b/packages/core/src/atMostOnce/shardRecord.ts
@@ -1,6 +1,6 @@
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Failure } from '../runtime/failure.js';
 import type { Member } from '../membership/member.js';
 import { ResultCode } from '../runtime/resultCode.js';
--- a/packages/core/src/configuration/answers.ts
+++ b/packages/core/src/configuration/answers.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { z } from 'zod';
+import * as z from 'zod';
 import { checkAnswers } from './checks.js';
 import { importances } from './configuration.js';
 import type { Failure } from '../runtime/failure.js';
--- a/packages/core/src/configuration/settings.ts
+++ b/packages/core/src/configuration/settings.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Failure } from '../runtime/failure.js';
 import type { LogLevel } from '../observability/logger.js';
 import type { PeerAddress } from '../peers/peer.js';
--- a/packages/core/src/configuration/yamlDocument.ts
+++ b/packages/core/src/configuration/yamlDocument.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { LineCounter, isMap, isNode, parseDocument } from 'yaml';
 import type { Document } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
--- a/packages/core/src/directory/targetRecord.ts
+++ b/packages/core/src/directory/targetRecord.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const recordSchema = z.object({
   /** Id of one start of the target. */
--- a/packages/core/src/membership/targetRegistry.ts
+++ b/packages/core/src/membership/targetRegistry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { Clock, Timer } from '../runtime/clock.js';
--- a/packages/core/src/peers/peerCaller.ts
+++ b/packages/core/src/peers/peerCaller.ts
@@ -2,7 +2,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import type { PeerAddress, PeerCaller } from './peer.js';
@@ -45,11 +45,12 @@
       async (message) => {
         // An answer that does not come in time takes its connection with it:
         // a silent connection is never used twice.
-        const answer = await request(`http://${to.address}:${to.port}/rpc`, {
+        const answer = await this.agent.request({
+          origin: `http://${to.address}:${to.port}`,
+          path: '/rpc',
           method: 'POST',
           headers: { 'content-type': 'application/json' },
           body: JSON.stringify(message),
-          dispatcher: this.agent,
           signal: AbortSignal.timeout(timeoutMs),
         });
         client.receive((await answer.body.json()) as JSONRPCResponse);
--- a/packages/daemon/src/forwardingSettings.ts
+++ b/packages/daemon/src/forwardingSettings.ts
@@ -1,6 +1,6 @@
 import { ResultCode, mapping, readYaml } from '@shallotcroft/core';
 import type { Endpoint, Failure, LogLevel, Result, YamlSource } from '@shallotcroft/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const HIGHEST_PORT = 65_535;
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,6 +11,7 @@
   alias: {
     '@shallotcroft/core': './packages/core/src/index.ts',
     '@shallotcroft/daemon': './packages/daemon/src/index.ts',
+    undici: './scripts/undiciParts.cjs',
   },
   minifyWhitespace: true,
   minifySyntax: true,
