--- a/packages/core/src/__tests__/hopConnection.spec.ts
+++ b/packages/core/src/__tests__/hopConnection.spec.ts
@@ -169,3 +169,34 @@
     },
   );
 });
+
+test('a silent daemon is reported long before its connection is given up', async () => {
+  await withListener(
+    (socket) => socket.resume(),
+    async (port) => {
+      const reported: number[] = [];
+      const client = new HopClient(systemClock, (to, silentMs) => {
+        assert.equal(to.port, port);
+        reported.push(silentMs);
+      });
+      await client.send({ address: '127.0.0.1', port }, request, 60_000, never);
+      // Given up after 1000 ms of silence, reported from 400 ms on.
+      assert.ok((reported[0] ?? Infinity) < 1000);
+    },
+  );
+});
+
+test('a daemon that takes long over a request is not silent', async () => {
+  const slow: HopHandler = async () => {
+    await systemClock.sleep(900);
+    return answerOf(Buffer.alloc(0));
+  };
+  await withServer(slow, async (port) => {
+    const reported: number[] = [];
+    const client = new HopClient(systemClock, (_to, silentMs) => reported.push(silentMs));
+    const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
+    assert.ok(sent.isOk());
+    assert.deepEqual(reported, []);
+    client.close();
+  });
+});
--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -29,7 +29,7 @@
 function createPlacement() {
   const clock = new ManualClock();
   const directory = new TargetDirectory(clock, silentLogger);
-  ['here-1', 'here-2', 'there-1', 'there-2'].forEach((key) => {
+  ['here-1', 'here-2', 'there-1', 'there-2'].forEach((key, index) => {
     directory.learn(key, {
       targetId: key,
       startedAt: 1,
@@ -38,7 +38,7 @@
       slots: 10,
       state: 'ready',
       warmAt: 0,
-      address: '10.0.0.1',
+      address: `10.0.0.${index}`,
       callPort: 1,
       peerPort: 2,
       incarnation: 'run',
@@ -97,3 +97,14 @@
   await clock.advance(1100);
   assert.deepEqual(chosenOf(choose), ['here-1', 'here-2']);
 });
+
+test('a target whose daemon is silent gets nothing while others are sound', async () => {
+  const { clock, placement, choose } = createPlacement();
+  placement.noteSilent('10.0.0.0', 1);
+  const chosen = new Set(Array.from({ length: 60 }, () => choose()?.key));
+  assert.equal(chosen.has('here-1'), false);
+  assert.equal(chosen.has('here-2'), true);
+  assert.equal(choose(['here-2', 'there-1', 'there-2'])?.key, 'here-1');
+  await clock.advance(1000);
+  assert.ok(Array.from({ length: 60 }, () => choose()?.key).includes('here-1'));
+});
--- a/packages/core/src/forwarding/hopClient.ts
+++ b/packages/core/src/forwarding/hopClient.ts
@@ -10,11 +10,17 @@
 /** Time after which a connection without requests is closed, in milliseconds. */
 const IDLE_MS = 8000;
 
+/** Called while a daemon with requests under way is silent. */
+export type SilenceListener = (to: Endpoint, silentMs: number) => void;
+
 /** Sends requests to other daemons. */
 export class HopClient {
   private readonly connections = new Map<string, Set<HopConnection>>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly onSilence: SilenceListener = () => undefined,
+  ) {}
 
   /** The daemon's answer; `notRunConnect` when nothing was sent. */
   send(
@@ -58,9 +64,12 @@
   }
 
   private connect(to: Endpoint, name: string, open: Set<HopConnection>): HopConnection {
-    const connection = new HopConnection(to, this.clock, (closed) => {
-      open.delete(closed);
-      if (open.size === 0 && this.connections.get(name) === open) this.connections.delete(name);
+    const connection = new HopConnection(to, this.clock, {
+      silent: (silentMs) => this.onSilence(to, silentMs),
+      closed: (closed) => {
+        open.delete(closed);
+        if (open.size === 0 && this.connections.get(name) === open) this.connections.delete(name);
+      },
     });
     open.add(connection);
     return connection;
--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -15,12 +15,23 @@
 /** Longest wait for a new connection, in milliseconds; hosts of a region answer in a few. */
 const CONNECT_TIMEOUT_MS = 300;
 /** How often a connection with requests under way is tested, in milliseconds. */
-const PING_INTERVAL_MS = 300;
+const TEST_INTERVAL_MS = 150;
+/** Silence after which the other end is asked for a sign of life, in milliseconds. */
+const PING_AFTER_MS = 150;
+/** Silence after which the other end is reported as silent: a ping was due to be answered. */
+const SUSPECT_AFTER_MS = 400;
 /** Silence after which a connection with requests under way is given up, in milliseconds. */
 const MAX_SILENCE_MS = 1000;
 /** Bytes that may wait on a connection before it takes no more requests. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
+/** What a connection tells its owner. */
+export interface HopConnectionEvents {
+  /** Nothing has come for so many milliseconds although a sign of life was asked for. */
+  silent(silentMs: number): void;
+  closed(connection: HopConnection): void;
+}
+
 interface Pending {
   settle(result: Result<HopAnswer, Failure>): void;
 }
@@ -49,7 +60,7 @@
   constructor(
     private readonly to: Endpoint,
     private readonly clock: Clock,
-    private readonly onClose: (connection: HopConnection) => void,
+    private readonly events: HopConnectionEvents,
   ) {
     this.usedAt = clock.now();
     this.socket = connect({ host: to.address, port: to.port, noDelay: true });
@@ -129,7 +140,7 @@
   private watch(): void {
     this.timer?.cancel();
     this.heardAt = this.clock.now();
-    this.timer = this.clock.startTimer(PING_INTERVAL_MS, () => this.test());
+    this.timer = this.clock.startTimer(TEST_INTERVAL_MS, () => this.test());
   }
 
   private test(): void {
@@ -139,8 +150,9 @@
       this.lose(`the connection was silent for ${Math.round(silentMs)} ms`);
       return;
     }
-    this.stream.write({ kind: 'ping' });
-    this.timer = this.clock.startTimer(PING_INTERVAL_MS, () => this.test());
+    if (silentMs > SUSPECT_AFTER_MS) this.events.silent(silentMs);
+    if (silentMs >= PING_AFTER_MS) this.stream.write({ kind: 'ping' });
+    this.timer = this.clock.startTimer(TEST_INTERVAL_MS, () => this.test());
   }
 
   private lose(message: string): void {
@@ -157,6 +169,6 @@
     const failure = createFailure(code, `${this.to.address}:${this.to.port}: ${message}`);
     this.pending.forEach((pending) => pending.settle(Err(failure)));
     this.pending.clear();
-    this.onClose(this);
+    this.events.closed(this);
   }
 }
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -14,6 +14,8 @@
 const MAX_LOAD_AGE_MS = 1000;
 /** Time that a target is avoided after a failed connection, in milliseconds. */
 const AVOID_UNREACHABLE_MS = 1000;
+/** Time that a target is avoided after its daemon was found silent, in milliseconds. */
+const AVOID_SILENT_MS = 500;
 /** Time that a target is avoided after it said that it is leaving, in milliseconds. */
 const AVOID_LEAVING_MS = 400;
 
@@ -122,6 +124,20 @@
     this.viewOf(target.key).avoidUntil = this.options.clock.now() + AVOID_UNREACHABLE_MS;
   }
 
+  /**
+   * The daemon at this address answers no sign of life. Answers a host that lost its power or its
+   * network: it is avoided long before its connections time out, and asked again when all others
+   * are worse.
+   */
+  noteSilent(address: string, callPort: number): void {
+    const until = this.options.clock.now() + AVOID_SILENT_MS;
+    this.options.directory.all().forEach(({ key, record }) => {
+      if (record.address !== address || record.callPort !== callPort) return;
+      const view = this.viewOf(key);
+      view.avoidUntil = Math.max(view.avoidUntil, until);
+    });
+  }
+
   /** Forgets targets that the directory no longer knows. */
   sweep(): void {
     const known = new Set(this.options.directory.all().map(({ key }) => key));
--- a/packages/daemon/src/forwardingKnowledge.ts
+++ b/packages/daemon/src/forwardingKnowledge.ts
@@ -77,6 +77,12 @@
   const directory = new TargetDirectory(clock, logger);
   const trees = new RequestTrees();
   const failures = new InnerFailures(clock);
+  const { dataCentre } = settings;
+  const placement = new TargetPlacement({ clock, random, directory, dataCentre });
+  const hopClient = new HopClient(clock, ({ address, port }, silentMs) => {
+    logger.log('info', 'daemon is silent', { peer: address, silentMs: Math.round(silentMs) });
+    placement.noteSilent(address, port);
+  });
   return {
     state: {
       incarnation,
@@ -91,12 +97,7 @@
     trees,
     failures,
     levels: new RouteLevels({ clock, random, trees, failures }),
-    placement: new TargetPlacement({
-      clock,
-      random,
-      directory,
-      dataCentre: settings.dataCentre,
-    }),
+    placement,
     retryBudget: new RetryBudget(clock, settings.retry.ratio * BUDGET_SHARE, 0),
     spareRetries: settings.retry.spare * BUDGET_SHARE,
     admission: createAdmission({
@@ -107,7 +108,7 @@
     counters: new Counters(),
     peers: new RpcPeerCaller(),
     methods: new PeerServer(),
-    hopClient: new HopClient(clock),
+    hopClient,
     targetTransport: new HttpCallTransport({
       clock,
       incarnation,
