--- a/packages/core/src/attempts/retryBudget.ts
+++ b/packages/core/src/attempts/retryBudget.ts
@@ -19,10 +19,15 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly ratio: number = RETRY_RATIO,
+    private ratio: number = RETRY_RATIO,
     private spare: number = SPARE_RETRIES,
   ) {}
 
+  /** Changes the share of the calls that may be retried. */
+  setRatio(ratio: number): void {
+    this.ratio = ratio;
+  }
+
   /** Changes the retries that are allowed when there were few calls. */
   setSpare(spare: number): void {
     this.spare = spare;
--- a/packages/daemon/src/fleetNews.ts
+++ b/packages/daemon/src/fleetNews.ts
@@ -69,7 +69,7 @@
 
   function shareSpareRetries(): void {
     const daemons = Math.max(1, directory.all().length);
-    retryBudget.setSpare(known.spareRetries / daemons);
+    retryBudget.setSpare(state.spareRetries / daemons);
   }
 
   function takeConfiguration(entry: StoreEntry): void {
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -1,10 +1,13 @@
 import { closeHttp, createSupervisor } from '@shallotcroft/core';
-import type { Supervisor, Watch } from '@shallotcroft/core';
+import type { Clock, Supervisor, Watch } from '@shallotcroft/core';
 import { listenForwarding } from './forwardingListeners.js';
 import type { ForwardingListeners } from './forwardingListeners.js';
 import { createForwardingParts } from './forwardingParts.js';
+import { spentRetries } from './forwardingKnowledge.js';
 import type { ForwardingOptions } from './forwardingKnowledge.js';
 import type { ForwardingParts } from './forwardingParts.js';
+import type { ForwardingSettings } from './forwardingSettings.js';
+import { reloadSettings } from './settingsReload.js';
 
 /** Two readiness checks a second apart, and the time in which callers learn, in milliseconds. */
 const LEAVE_NOTICE_MS = 2600;
@@ -20,6 +23,8 @@
 
 /** A forwarding daemon that runs. */
 export interface ForwardingDaemon {
+  /** Takes over the settings that may change while it runs. */
+  reload(changed: ForwardingSettings): void;
   /** Finishes what was read, then ends. */
   stop(): Promise<void>;
 }
@@ -40,11 +45,12 @@
 
 /** Serves on until all that was read is answered and callers know, or time runs out. */
 async function finishRequests(
-  { clock, settings }: ForwardingOptions,
+  clock: Clock,
+  stopTimeoutSeconds: number,
   { gateway, guard }: ForwardingParts,
 ): Promise<void> {
   const beganAt = clock.now();
-  const latestMs = settings.stopTimeoutSeconds * MS_PER_S - STOP_RESERVE_MS;
+  const latestMs = stopTimeoutSeconds * MS_PER_S - STOP_RESERVE_MS;
   for (;;) {
     const elapsedMs = clock.now() - beganAt;
     const isBusy = gateway.active() + guard.active() > 0;
@@ -76,7 +82,8 @@
 
 /** Starts a daemon that forwards requests by host and path; rejects when an address is taken. */
 export async function startForwardingDaemon(options: ForwardingOptions): Promise<ForwardingDaemon> {
-  const { logger, settings } = options;
+  const { logger } = options;
+  let { settings } = options;
   const parts = createForwardingParts(options);
   const { state, news, gateway, guard } = parts;
   const supervisor = createSupervisor(options);
@@ -94,7 +101,7 @@
     const lastBegin = options.clock.startTimer(LAST_BEGIN_MS, () => {
       state.isClosing = true;
     });
-    await finishRequests(options, parts);
+    await finishRequests(options.clock, settings.stopTimeoutSeconds, parts);
     lastBegin.cancel();
     watches.forEach((watch) => watch.close());
     await closeAll(options, parts, listeners, supervisor);
@@ -103,6 +110,13 @@
 
   let stopped: Promise<void> | undefined;
   return {
+    reload: (changed) => {
+      settings = reloadSettings(settings, changed, logger);
+      const { ratio, spare } = spentRetries(settings.retry);
+      parts.retryBudget.setRatio(ratio);
+      state.spareRetries = spare;
+      news.shareSpareRetries();
+    },
     stop: () => {
       stopped ??= stopAll();
       return stopped;
--- a/packages/daemon/src/forwardingKnowledge.ts
+++ b/packages/daemon/src/forwardingKnowledge.ts
@@ -26,6 +26,8 @@
 /** Share of the fleet's retry budget that is spent: repeated calls repeat the calls below them. */
 const BUDGET_SHARE = 0.7;
 
+type RetryBounds = ForwardingSettings['retry'];
+
 /** What the parts of a forwarding daemon are made from. */
 export interface ForwardingOptions {
   settings: ForwardingSettings;
@@ -46,6 +48,8 @@
   /** True once the daemon begins no more requests of callers. */
   isClosing: boolean;
   isStoreReachable: boolean;
+  /** Retries that the whole fleet may make besides its share of the requests. */
+  spareRetries: number;
 }
 
 /** What is known of the fleet and of the requests under way. */
@@ -59,8 +63,6 @@
   levels: RouteLevels;
   placement: TargetPlacement;
   retryBudget: RetryBudget;
-  /** Retries that the whole fleet may make besides its share of the requests. */
-  spareRetries: number;
   admission: Admission;
   histograms: Histograms;
   counters: Counters;
@@ -70,6 +72,11 @@
   targetTransport: HttpCallTransport;
 }
 
+/** The part of the fleet's retry bounds that is spent. */
+export function spentRetries({ ratio, spare }: RetryBounds): RetryBounds {
+  return { ratio: ratio * BUDGET_SHARE, spare: spare * BUDGET_SHARE };
+}
+
 /** Makes what is known, of which nothing is known yet. */
 export function createKnowledge(options: ForwardingOptions): ForwardingKnowledge {
   const { settings, platform, clock, random, logger } = options;
@@ -78,6 +85,7 @@
   const trees = new RequestTrees();
   const failures = new InnerFailures(clock);
   const { dataCentre } = settings;
+  const retries = spentRetries(settings.retry);
   const placement = new TargetPlacement({ clock, random, directory, dataCentre });
   const hopClient = new HopClient(clock, ({ address, port }, silentMs) => {
     logger.log('info', 'daemon is silent', { peer: address, silentMs: Math.round(silentMs) });
@@ -90,6 +98,7 @@
       isStopping: false,
       isClosing: false,
       isStoreReachable: false,
+      spareRetries: retries.spare,
     },
     routing: new RoutingKeeper(random, logger),
     directory,
@@ -98,8 +107,7 @@
     failures,
     levels: new RouteLevels({ clock, random, trees, failures }),
     placement,
-    retryBudget: new RetryBudget(clock, settings.retry.ratio * BUDGET_SHARE, 0),
-    spareRetries: settings.retry.spare * BUDGET_SHARE,
+    retryBudget: new RetryBudget(clock, retries.ratio, 0),
     admission: createAdmission({
       clock,
       settings: { limit: 'fixed', slots: 1, objective: 'goodput' },
