--- a/packages/core/src/__tests__/hopConnection.spec.ts
+++ b/packages/core/src/__tests__/hopConnection.spec.ts
@@ -4,14 +4,17 @@
 import { test } from 'node:test';
 import { systemClock } from '../runtime/clock.js';
 import { HopClient } from '../forwarding/hopClient.js';
-import type { HopAnswer, HopRequest } from '../forwarding/hopMessages.js';
+import type { HopAnswer, HopEnd, HopRequest } from '../forwarding/hopMessages.js';
 import { HopServer } from '../forwarding/hopServer.js';
 import type { HopHandler } from '../forwarding/hopServer.js';
 import { silentLogger } from '../observability/logger.js';
 import { ResultCode } from '../runtime/resultCode.js';
 
+const origin: HopEnd = { incarnation: 'run-0', peerPort: 1, service: 'circles' };
+const own: HopEnd = { incarnation: 'run', peerPort: 2, service: 'books' };
+
 const request: HopRequest = {
-  attemptId: 'run-1',
+  attemptId: 'run-0-1',
   callerId: 'a',
   method: 'POST',
   url: '/books/1?page=2',
@@ -46,7 +49,7 @@
 const never = new AbortController().signal;
 
 async function withServer(handler: HopHandler, work: (port: number) => Promise<void>) {
-  const server = new HopServer(handler, silentLogger);
+  const server = new HopServer(own, handler, silentLogger);
   try {
     await work(await server.listen('127.0.0.1', 0));
   } finally {
@@ -82,7 +85,7 @@
     return answerOf(body);
   };
   await withServer(echo, async (port) => {
-    const client = new HopClient(systemClock);
+    const client = new HopClient(origin, systemClock);
     const sizes = Array.from({ length: 60 }, (_none, index) => index * 4001);
     await Promise.all(
       sizes.map(async (size) => {
@@ -115,7 +118,7 @@
       gone.abort();
     });
   await withServer(slow, async (port) => {
-    const client = new HopClient(systemClock);
+    const client = new HopClient(origin, systemClock);
     const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, gone.signal);
     assert.equal(sent.unwrapErr().code, ResultCode.unknownCancelled);
     await done;
@@ -127,7 +130,7 @@
   await withListener(
     (socket) => socket.once('data', () => socket.destroy()),
     async (port) => {
-      const client = new HopClient(systemClock);
+      const client = new HopClient(origin, systemClock);
       const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
     },
@@ -138,7 +141,7 @@
   await withListener(
     (socket) => socket.resume(),
     async (port) => {
-      const client = new HopClient(systemClock);
+      const client = new HopClient(origin, systemClock);
       const sent = await client.send({ address: '127.0.0.1', port }, request, 60_000, never);
       assert.match(sent.unwrapErr().message, /silent/);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
@@ -154,7 +157,7 @@
       free = port;
     },
   );
-  const client = new HopClient(systemClock);
+  const client = new HopClient(origin, systemClock);
   const sent = await client.send({ address: '127.0.0.1', port: free }, request, 5000, never);
   assert.equal(sent.unwrapErr().code, ResultCode.notRunConnect);
 });
@@ -163,7 +166,7 @@
   await withListener(
     (socket) => socket.write('HTTP/1.1 200 OK\r\n\r\n'),
     async (port) => {
-      const client = new HopClient(systemClock);
+      const client = new HopClient(origin, systemClock);
       const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
     },
@@ -175,7 +178,7 @@
     (socket) => socket.resume(),
     async (port) => {
       const reported: number[] = [];
-      const client = new HopClient(systemClock, (to, silentMs) => {
+      const client = new HopClient(origin, systemClock, (to, silentMs) => {
         assert.equal(to.port, port);
         reported.push(silentMs);
       });
@@ -193,7 +196,7 @@
   };
   await withServer(slow, async (port) => {
     const reported: number[] = [];
-    const client = new HopClient(systemClock, (_to, silentMs) => reported.push(silentMs));
+    const client = new HopClient(origin, systemClock, (_to, silentMs) => reported.push(silentMs));
     const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
     assert.ok(sent.isOk());
     assert.deepEqual(reported, []);
--- a/packages/core/src/forwarding/hopClient.ts
+++ b/packages/core/src/forwarding/hopClient.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../runtime/clock.js';
 import type { Failure } from '../runtime/failure.js';
 import { HopConnection } from './hopConnection.js';
-import type { HopAnswer, HopRequest } from './hopMessages.js';
+import type { HopAnswer, HopEnd, HopRequest } from './hopMessages.js';
 
 /** Connections to one daemon; several, since a lost packet holds up all that follow it on one. */
 const MAX_CONNECTIONS = 6;
@@ -18,6 +18,7 @@
   private readonly connections = new Map<string, Set<HopConnection>>();
 
   constructor(
+    private readonly own: HopEnd,
     private readonly clock: Clock,
     private readonly onSilence: SilenceListener = () => undefined,
   ) {}
@@ -64,7 +65,7 @@
   }
 
   private connect(to: Endpoint, name: string, open: Set<HopConnection>): HopConnection {
-    const connection = new HopConnection(to, this.clock, {
+    const connection = new HopConnection(to, this.own, this.clock, {
       silent: (silentMs) => this.onSilence(to, silentMs),
       closed: (closed) => {
         open.delete(closed);
--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -8,8 +8,8 @@
 import type { Failure } from '../runtime/failure.js';
 import { ResultCode } from '../runtime/resultCode.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
-import { readHopFields, requestFields } from './hopMessages.js';
-import type { HopAnswer, HopRequest } from './hopMessages.js';
+import { helloFields, readHopMessage, requestFields } from './hopMessages.js';
+import type { HopAnswer, HopEnd, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
 
 /** Longest wait for a new connection, in milliseconds; hosts of a region answer in a few. */
@@ -54,17 +54,22 @@
 
   private timer: Timer | undefined;
 
+  /** What the other end said of itself. */
+  private other: HopEnd | undefined;
+
   /** When a request last used the connection, on the monotonic clock, in milliseconds. */
   usedAt: number;
 
   constructor(
     private readonly to: Endpoint,
+    private readonly own: HopEnd,
     private readonly clock: Clock,
     private readonly events: HopConnectionEvents,
   ) {
     this.usedAt = clock.now();
     this.socket = connect({ host: to.address, port: to.port, noDelay: true });
     this.stream = new MessageStream(this.socket, (fields, body) => this.take(fields, body));
+    this.stream.write(helloFields(own));
     this.timer = clock.startTimer(CONNECT_TIMEOUT_MS, () => {
       this.fail(ResultCode.notRunConnect, `no connection within ${CONNECT_TIMEOUT_MS} ms`);
     });
@@ -105,7 +110,7 @@
           resolve(result);
         },
       });
-      this.stream.write(requestFields(id, request), request.body);
+      this.stream.write(requestFields(id, request, this.own, this.other), request.body);
     });
   }
 
@@ -121,7 +126,9 @@
 
   private take(fields: unknown, body: Buffer): void {
     this.heardAt = this.clock.now();
-    const read = readHopFields(fields);
+    const read = readHopMessage(fields, this.own, this.other);
+    if (!read) this.lose('the other end speaks another form of messages');
+    if (read?.kind === 'hello') this.other = read.end;
     if (read?.kind !== 'answer') return;
     const pending = this.pending.get(read.id);
     this.pending.delete(read.id);
@@ -132,7 +139,7 @@
     const pending = this.pending.get(id);
     if (!pending) return;
     this.pending.delete(id);
-    this.stream.write({ kind: 'cancel', id });
+    this.stream.write(['cancel', id]);
     pending.settle(Err(createFailure(code, message)));
   }
 
@@ -151,7 +158,7 @@
       return;
     }
     if (silentMs > SUSPECT_AFTER_MS) this.events.silent(silentMs);
-    if (silentMs >= PING_AFTER_MS) this.stream.write({ kind: 'ping' });
+    if (silentMs >= PING_AFTER_MS) this.stream.write(['ping']);
     this.timer = this.clock.startTimer(TEST_INTERVAL_MS, () => this.test());
   }
 
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -1,10 +1,14 @@
 import type { CallAnswer, CallHeaders } from '../calls/call.js';
+import { importances } from '../configuration/configuration.js';
 import type { Importance } from '../configuration/configuration.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
 
+/** Form of the messages; daemons of another form do not understand each other. */
+const HOP_PROTOCOL = 2;
+
 /** A request as one daemon passes it to the daemon beside a target. */
 export interface HopRequest {
-  /** Id of this attempt, unique in the fleet. */
+  /** Id of this attempt, unique in the fleet: the sender's run and a number. */
   attemptId: string;
   /** Id that the caller gave its request. */
   callerId: string;
@@ -54,37 +58,208 @@
   message: string;
 }
 
-/** Fields of a message between two daemons; the body of a request or an answer follows them. */
-export type HopFields =
+/** What each end of a connection tells the other once, so that messages need not repeat it. */
+export interface HopEnd {
+  /** Id of this run of the daemon. */
+  incarnation: string;
+  /** Port for its control messages. */
+  peerPort: number;
+  /** Service that runs on its host. */
+  service: string;
+}
+
+/** A message between two daemons, without the body of a request or an answer. */
+export type HopMessage =
+  | { kind: 'hello'; end: HopEnd }
   | { kind: 'request'; id: number; request: Omit<HopRequest, 'body'> }
-  | { kind: 'answer'; id: number; answer: HopAnswerFields }
+  | { kind: 'answer'; id: number; answer: Omit<HopAnswer, 'answer'> & { answer: AnswerHead } }
   | { kind: 'cancel'; id: number }
   | { kind: 'ping' }
   | { kind: 'pong' };
 
-interface HopAnswerFields extends Omit<HopAnswer, 'answer'> {
-  answer: Omit<CallAnswer, 'body'>;
-}
-
-const kinds = new Set(['request', 'answer', 'cancel', 'ping', 'pong']);
+type AnswerHead = Omit<CallAnswer, 'body'>;
 
-/**
- * Reads the fields of a message; undefined when they are of another kind. Both ends run the same
- * release, so the kind is checked and not each field: that is done for every request.
+/*
+ * Messages are arrays whose places have a fixed meaning, and leave out what the other end knows:
+ * links between data centres cost, and the names of the fields were most of what went over them.
  */
-export function readHopFields(fields: unknown): HopFields | undefined {
-  const { kind } = (fields ?? {}) as { kind?: unknown };
-  return typeof kind === 'string' && kinds.has(kind) ? (fields as HopFields) : undefined;
+
+type HelloFields = ['hello', number, string, number, string];
+
+type RequestFields = [
+  kind: 'request',
+  id: number,
+  /** The number alone where the rest is the sender's run. */
+  attempt: number | string,
+  callerId: string,
+  method: string,
+  url: string,
+  host: string,
+  headers: CallHeaders,
+  remainingMs: number,
+  importance: number,
+  /** Empty for a request that is its own root. */
+  rootId: string,
+  isInner: 0 | 1,
+  route: string,
+  service: string,
+  /** Empty where the request is for the run that said hello. */
+  incarnation: string,
+  configurationVersion: number,
+];
+
+type AnswerFields = [
+  kind: 'answer',
+  id: number,
+  code: ResultNumber,
+  reached: 0 | 1,
+  status: number,
+  headers: CallHeaders,
+  endsWithConnection: 0 | 1,
+  inFlight: number,
+  waiting: number,
+  limit: number,
+  serviceMs: number,
+  shedLevel: number,
+  configurationVersion: number,
+  message: string,
+];
+
+type SmallFields = ['cancel', number] | ['ping'] | ['pong'];
+
+function bit(value: boolean | undefined): 0 | 1 {
+  return value ? 1 : 0;
+}
+
+/** Fields of the first message on a connection. */
+export function helloFields({ incarnation, peerPort, service }: HopEnd): HelloFields {
+  return ['hello', HOP_PROTOCOL, incarnation, peerPort, service];
 }
 
-/** Fields of a request, without its body. */
-export function requestFields(id: number, request: HopRequest): HopFields {
-  const { body, ...rest } = request;
-  return { kind: 'request', id, request: rest };
+/** Fields of a request, without its body; `other` is the end that it goes to, once it is known. */
+export function requestFields(
+  id: number,
+  request: HopRequest,
+  own: HopEnd,
+  other: HopEnd | undefined,
+): RequestFields {
+  const { attemptId, callerId, rootId, incarnation } = request;
+  const prefix = `${own.incarnation}-`;
+  return [
+    'request',
+    id,
+    attemptId.startsWith(prefix) ? Number(attemptId.slice(prefix.length)) : attemptId,
+    callerId,
+    request.method,
+    request.url,
+    request.host,
+    request.headers,
+    request.remainingMs,
+    importances.indexOf(request.importance),
+    rootId === callerId ? '' : rootId,
+    bit(request.isInner),
+    request.route,
+    request.service,
+    incarnation === other?.incarnation ? '' : incarnation,
+    request.configurationVersion,
+  ];
 }
 
 /** Fields of an answer, without its body. */
-export function answerFields(id: number, hop: HopAnswer): HopFields {
-  const { body, ...answer } = hop.answer;
-  return { kind: 'answer', id, answer: { ...hop, answer } };
+export function answerFields(id: number, hop: HopAnswer): AnswerFields {
+  const { answer, load } = hop;
+  return [
+    'answer',
+    id,
+    hop.code,
+    bit(hop.reached),
+    answer.status,
+    answer.headers,
+    bit(answer.endsWithConnection),
+    load.inFlight,
+    load.waiting,
+    load.limit,
+    Math.round(load.serviceMs),
+    hop.shedLevel,
+    hop.configurationVersion,
+    hop.message,
+  ];
+}
+
+function requestOf(fields: RequestFields, own: HopEnd, other: HopEnd): HopMessage {
+  const [, id, attempt, callerId, method, url, host, headers, remainingMs, importance] = fields;
+  const [rootId, isInner, route, service, incarnation, configurationVersion] = fields.slice(10) as [
+    string,
+    0 | 1,
+    string,
+    string,
+    string,
+    number,
+  ];
+  return {
+    kind: 'request',
+    id,
+    request: {
+      attemptId: typeof attempt === 'number' ? `${other.incarnation}-${attempt}` : attempt,
+      callerId,
+      method,
+      url,
+      host,
+      headers,
+      remainingMs,
+      callerService: other.service,
+      importance: importances[importance] as Importance,
+      rootId: rootId === '' ? callerId : rootId,
+      isInner: isInner === 1,
+      route,
+      service,
+      incarnation: incarnation === '' ? own.incarnation : incarnation,
+      configurationVersion,
+      peerPort: other.peerPort,
+    },
+  };
+}
+
+function answerOf(fields: AnswerFields, other: HopEnd): HopMessage {
+  const [, id, code, reached, status, headers, endsWithConnection] = fields;
+  const [inFlight, waiting, limit, serviceMs, shedLevel, configurationVersion, message] =
+    fields.slice(7) as [number, number, number, number, number, number, string];
+  return {
+    kind: 'answer',
+    id,
+    answer: {
+      code,
+      reached: reached === 1,
+      answer: { status, headers, ...(endsWithConnection === 1 && { endsWithConnection: true }) },
+      load: { inFlight, waiting, limit, serviceMs },
+      shedLevel,
+      configurationVersion,
+      incarnation: other.incarnation,
+      message,
+    },
+  };
+}
+
+/**
+ * Reads a message; undefined when it is of another form, or comes before the other end has said
+ * hello. Both ends run the same form, so its kind is checked and not each field: that is done for
+ * every request.
+ */
+export function readHopMessage(
+  fields: unknown,
+  own: HopEnd,
+  other: HopEnd | undefined,
+): HopMessage | undefined {
+  if (!Array.isArray(fields)) return undefined;
+  const known = fields as HelloFields | RequestFields | AnswerFields | SmallFields;
+  if (known[0] === 'hello') {
+    const [, form, incarnation, peerPort, service] = known;
+    if (form !== HOP_PROTOCOL) return undefined;
+    return { kind: 'hello', end: { incarnation, peerPort, service } };
+  }
+  if (known[0] === 'ping' || known[0] === 'pong') return { kind: known[0] };
+  if (known[0] === 'cancel') return { kind: 'cancel', id: known[1] };
+  if (!other) return undefined;
+  if (known[0] === 'request') return requestOf(known, own, other);
+  return known[0] === 'answer' ? answerOf(known, other) : undefined;
 }
--- a/packages/core/src/forwarding/hopServer.ts
+++ b/packages/core/src/forwarding/hopServer.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Logger } from '../observability/logger.js';
-import { answerFields, readHopFields } from './hopMessages.js';
-import type { HopAnswer, HopRequest } from './hopMessages.js';
+import { answerFields, helloFields, readHopMessage } from './hopMessages.js';
+import type { HopAnswer, HopEnd, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
 
 /** Answers one request of another daemon. Never rejects. */
@@ -19,6 +19,7 @@
   private readonly sockets = new Set<Socket>();
 
   constructor(
+    private readonly own: HopEnd,
     private readonly handler: HopHandler,
     private readonly logger: Logger,
   ) {
@@ -46,11 +47,14 @@
     this.sockets.add(socket);
     const running = new Map<number, AbortController>();
     const remoteAddress = socket.remoteAddress ?? '';
+    let other: HopEnd | undefined;
     const stream = new MessageStream(socket, (fields, body) => {
-      const read = readHopFields(fields);
+      const read = readHopMessage(fields, this.own, other);
       if (!read) {
         this.logger.log('warn', 'message of another daemon is not readable', { remoteAddress });
-      } else if (read.kind === 'ping') stream.write({ kind: 'pong' });
+        socket.destroy();
+      } else if (read.kind === 'hello') other = read.end;
+      else if (read.kind === 'ping') stream.write(['pong']);
       else if (read.kind === 'cancel') running.get(read.id)?.abort(new Error('cancelled'));
       else if (read.kind === 'request') {
         const gone = new AbortController();
@@ -64,6 +68,7 @@
       }
     });
 
+    stream.write(helloFields(this.own));
     socket.on('error', (error) => {
       this.logger.log('debug', 'connection of another daemon failed', {
         remoteAddress,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -244,7 +244,7 @@
 } from './forwarding/forwardedRequest.js';
 export { HopClient } from './forwarding/hopClient.js';
 export { HopServer } from './forwarding/hopServer.js';
-export type { HopAnswer, HopRequest, TargetLoad } from './forwarding/hopMessages.js';
+export type { HopAnswer, HopEnd, HopRequest, TargetLoad } from './forwarding/hopMessages.js';
 export { AttemptRegister } from './forwarding/attemptRegister.js';
 export type { VoidOutcome } from './forwarding/attemptRegister.js';
 export { createTargetGuard } from './forwarding/targetGuard.js';
--- a/packages/daemon/src/forwardingKnowledge.ts
+++ b/packages/daemon/src/forwardingKnowledge.ts
@@ -17,7 +17,14 @@
   createAdmission,
   createHistograms,
 } from '@shallotcroft/core';
-import type { Admission, Clock, Histograms, Logger, RandomSource } from '@shallotcroft/core';
+import type {
+  Admission,
+  Clock,
+  Histograms,
+  HopEnd,
+  Logger,
+  RandomSource,
+} from '@shallotcroft/core';
 import type { FleetPlatform } from './fleetPlatform.js';
 import type { ForwardingSettings } from './forwardingSettings.js';
 
@@ -68,6 +75,8 @@
   counters: Counters;
   peers: RpcPeerCaller;
   methods: PeerServer;
+  /** What other daemons are told of this one on each connection. */
+  hopEnd: HopEnd;
   hopClient: HopClient;
   targetTransport: HttpCallTransport;
 }
@@ -87,7 +96,9 @@
   const { dataCentre } = settings;
   const retries = spentRetries(settings.retry);
   const placement = new TargetPlacement({ clock, random, directory, dataCentre });
-  const hopClient = new HopClient(clock, ({ address, port }, silentMs) => {
+  const { peerPort } = settings.listen;
+  const hopEnd: HopEnd = { incarnation, peerPort, service: settings.service };
+  const hopClient = new HopClient(hopEnd, clock, ({ address, port }, silentMs) => {
     logger.log('info', 'daemon is silent', { peer: address, silentMs: Math.round(silentMs) });
     placement.noteSilent(address, port);
   });
@@ -116,6 +127,7 @@
     counters: new Counters(),
     peers: new RpcPeerCaller(),
     methods: new PeerServer(),
+    hopEnd,
     hopClient,
     targetTransport: new HttpCallTransport({
       clock,
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -73,13 +73,17 @@
 }
 
 function createHopServer(options: ForwardingOptions, parts: ForwardingParts): HopServer {
-  const { routing, guard, news } = parts;
-  return new HopServer((request, signal, remoteAddress) => {
-    if (request.configurationVersion > routing.version()) {
-      news.askPeer(remoteAddress, request.peerPort);
-    }
-    return guard.handle(request, signal);
-  }, options.logger);
+  const { routing, guard, news, hopEnd } = parts;
+  return new HopServer(
+    hopEnd,
+    (request, signal, remoteAddress) => {
+      if (request.configurationVersion > routing.version()) {
+        news.askPeer(remoteAddress, request.peerPort);
+      }
+      return guard.handle(request, signal);
+    },
+    options.logger,
+  );
 }
 
 function isReady({ state, routing, directory }: ForwardingParts): boolean {
