--- a/packages/core/src/forwarding/forwardedRequest.ts
+++ b/packages/core/src/forwarding/forwardedRequest.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { CallHeaders } from '../calls/call.js';
 
 /** What a caller tells in the headers of a request. */
@@ -16,7 +17,7 @@
   /** Path and query, unchanged. */
   url: string;
   host: string;
-  /** End-to-end headers. */
+  /** End-to-end headers, without those that the target is told anew. */
   headers: CallHeaders;
   body: Buffer;
 }
@@ -42,7 +43,10 @@
   abstract readonly idHeader: string;
 
   /** Who asks, and for how long; undefined when the request carries no valid id. */
-  abstract readCaller(headers: CallHeaders): CallerFields | undefined;
+  abstract readCaller(headers: IncomingHttpHeaders): CallerFields | undefined;
+
+  /** True for headers that `headersForTarget` sets, whatever the caller sent. */
+  abstract isEnvelopeHeader(name: string): boolean;
 
   /** Headers for the target, added to the caller's. */
   abstract headersForTarget(envelope: TargetEnvelope): CallHeaders;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -258,5 +258,5 @@
 export { InnerFailures } from './placement/innerFailures.js';
 export { RouteLevels } from './placement/routeLevels.js';
 export { TargetPlacement } from './placement/targetPlacement.js';
-export { endToEndHeaders } from './http/endToEndHeaders.js';
+export { headersWithout, isConnectionHeader } from './http/endToEndHeaders.js';
 export { mapping, readYaml } from './configuration/yamlDocument.js';
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -1,4 +1,10 @@
-import { HopServer, endToEndHeaders, listenHttp, metricsText } from '@shallotcroft/core';
+import {
+  HopServer,
+  headersWithout,
+  isConnectionHeader,
+  listenHttp,
+  metricsText,
+} from '@shallotcroft/core';
 import type {
   Endpoint,
   HttpAnswer,
@@ -31,8 +37,11 @@
 function createRequestHandler(options: ForwardingOptions, parts: ForwardingParts): HttpHandler {
   const { dialect } = options.platform;
   return async (message: HttpMessage): Promise<HttpAnswer> => {
-    const headers = endToEndHeaders(message.headers);
-    const caller = dialect.readCaller(headers);
+    const caller = dialect.readCaller(message.headers);
+    const headers = headersWithout(
+      message.headers,
+      (name) => isConnectionHeader(name) || dialect.isEnvelopeHeader(name),
+    );
     const { host } = message.headers;
     const answer = await parts.gateway.forward(
       {
