--- a/packages/core/src/__tests__/hopConnection.spec.ts
+++ b/packages/core/src/__tests__/hopConnection.spec.ts
@@ -4,34 +4,12 @@
 import { test } from 'node:test';
 import { systemClock } from '../runtime/clock.js';
 import { HopClient } from '../forwarding/hopClient.js';
-import type { HopAnswer, HopEnd, HopRequest } from '../forwarding/hopMessages.js';
+import type { HopAnswer } from '../forwarding/hopMessages.js';
 import { HopServer } from '../forwarding/hopServer.js';
 import type { HopHandler } from '../forwarding/hopServer.js';
 import { silentLogger } from '../observability/logger.js';
 import { ResultCode } from '../runtime/resultCode.js';
-
-const origin: HopEnd = { incarnation: 'run-0', peerPort: 1, service: 'circles' };
-const own: HopEnd = { incarnation: 'run', peerPort: 2, service: 'books' };
-
-const request: HopRequest = {
-  attemptId: 'run-0-1',
-  callerId: 'a',
-  method: 'POST',
-  url: '/books/1?page=2',
-  host: 'a.example',
-  headers: { accept: '*/*' },
-  body: Buffer.from('body'),
-  remainingMs: 5000,
-  callerService: 'circles',
-  importance: 'normal',
-  rootId: 'a',
-  isInner: false,
-  route: 'r-1',
-  service: 'books',
-  incarnation: 'run',
-  configurationVersion: 1,
-  peerPort: 1,
-};
+import { guardEnd, hopRequest, originEnd } from './support/hopSamples.js';
 
 function answerOf(body: Buffer): HopAnswer {
   return {
@@ -49,7 +27,7 @@
 const never = new AbortController().signal;
 
 async function withServer(handler: HopHandler, work: (port: number) => Promise<void>) {
-  const server = new HopServer(own, handler, silentLogger);
+  const server = new HopServer(guardEnd, handler, silentLogger);
   try {
     await work(await server.listen('127.0.0.1', 0));
   } finally {
@@ -85,14 +63,14 @@
     return answerOf(body);
   };
   await withServer(echo, async (port) => {
-    const client = new HopClient(origin, systemClock);
+    const client = new HopClient(originEnd, systemClock);
     const sizes = Array.from({ length: 60 }, (_none, index) => index * 4001);
     await Promise.all(
       sizes.map(async (size) => {
         const body = Buffer.alloc(size, size % 251);
         const sent = await client.send(
           { address: '127.0.0.1', port },
-          { ...request, body },
+          { ...hopRequest, body },
           5000,
           never,
         );
@@ -118,8 +96,8 @@
       gone.abort();
     });
   await withServer(slow, async (port) => {
-    const client = new HopClient(origin, systemClock);
-    const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, gone.signal);
+    const client = new HopClient(originEnd, systemClock);
+    const sent = await client.send({ address: '127.0.0.1', port }, hopRequest, 5000, gone.signal);
     assert.equal(sent.unwrapErr().code, ResultCode.unknownCancelled);
     await done;
     client.close();
@@ -130,8 +108,8 @@
   await withListener(
     (socket) => socket.once('data', () => socket.destroy()),
     async (port) => {
-      const client = new HopClient(origin, systemClock);
-      const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
+      const client = new HopClient(originEnd, systemClock);
+      const sent = await client.send({ address: '127.0.0.1', port }, hopRequest, 5000, never);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
     },
   );
@@ -141,8 +119,8 @@
   await withListener(
     (socket) => socket.resume(),
     async (port) => {
-      const client = new HopClient(origin, systemClock);
-      const sent = await client.send({ address: '127.0.0.1', port }, request, 60_000, never);
+      const client = new HopClient(originEnd, systemClock);
+      const sent = await client.send({ address: '127.0.0.1', port }, hopRequest, 60_000, never);
       assert.match(sent.unwrapErr().message, /silent/);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
     },
@@ -157,8 +135,8 @@
       free = port;
     },
   );
-  const client = new HopClient(origin, systemClock);
-  const sent = await client.send({ address: '127.0.0.1', port: free }, request, 5000, never);
+  const client = new HopClient(originEnd, systemClock);
+  const sent = await client.send({ address: '127.0.0.1', port: free }, hopRequest, 5000, never);
   assert.equal(sent.unwrapErr().code, ResultCode.notRunConnect);
 });
 
@@ -166,8 +144,8 @@
   await withListener(
     (socket) => socket.write('HTTP/1.1 200 OK\r\n\r\n'),
     async (port) => {
-      const client = new HopClient(origin, systemClock);
-      const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
+      const client = new HopClient(originEnd, systemClock);
+      const sent = await client.send({ address: '127.0.0.1', port }, hopRequest, 5000, never);
       assert.equal(sent.unwrapErr().code, ResultCode.unknownConnectionLost);
     },
   );
@@ -178,11 +156,11 @@
     (socket) => socket.resume(),
     async (port) => {
       const reported: number[] = [];
-      const client = new HopClient(origin, systemClock, (to, silentMs) => {
+      const client = new HopClient(originEnd, systemClock, (to, silentMs) => {
         assert.equal(to.port, port);
         reported.push(silentMs);
       });
-      await client.send({ address: '127.0.0.1', port }, request, 60_000, never);
+      await client.send({ address: '127.0.0.1', port }, hopRequest, 60_000, never);
       // Given up after 1000 ms of silence, reported from 400 ms on.
       assert.ok((reported[0] ?? Infinity) < 1000);
     },
@@ -196,8 +174,10 @@
   };
   await withServer(slow, async (port) => {
     const reported: number[] = [];
-    const client = new HopClient(origin, systemClock, (_to, silentMs) => reported.push(silentMs));
-    const sent = await client.send({ address: '127.0.0.1', port }, request, 5000, never);
+    const client = new HopClient(originEnd, systemClock, (_to, silentMs) =>
+      reported.push(silentMs),
+    );
+    const sent = await client.send({ address: '127.0.0.1', port }, hopRequest, 5000, never);
     assert.ok(sent.isOk());
     assert.deepEqual(reported, []);
     client.close();
--- a/packages/core/src/__tests__/hopMessages.spec.ts
+++ b/packages/core/src/__tests__/hopMessages.spec.ts
@@ -8,29 +8,7 @@
 } from '../forwarding/hopMessages.js';
 import type { HopAnswer, HopEnd, HopRequest } from '../forwarding/hopMessages.js';
 import { ResultCode } from '../runtime/resultCode.js';
-
-const sender: HopEnd = { incarnation: 'run-a', peerPort: 7001, service: 'circles' };
-const guard: HopEnd = { incarnation: 'run-b', peerPort: 7002, service: 'books' };
-
-const request: HopRequest = {
-  attemptId: 'run-a-17',
-  callerId: 'a.1',
-  method: 'POST',
-  url: '/books/1?page=2',
-  host: 'a.example',
-  headers: { accept: '*/*' },
-  body: Buffer.alloc(0),
-  remainingMs: 5000,
-  callerService: 'circles',
-  importance: 'high',
-  rootId: 'a',
-  isInner: true,
-  route: 'r-1',
-  service: 'books',
-  incarnation: 'run-b',
-  configurationVersion: 12,
-  peerPort: 7001,
-};
+import { guardEnd, hopRequest, originEnd } from './support/hopSamples.js';
 
 const answer: HopAnswer = {
   code: ResultCode.ok,
@@ -50,35 +28,38 @@
 
 function requestRead(sent: HopRequest, known: HopEnd | undefined): unknown {
   const { body, ...rest } = sent;
-  const read = carried(requestFields(3, sent, sender, known), guard, sender);
+  const read = carried(requestFields(3, sent, originEnd, known), guardEnd, originEnd);
   assert.deepEqual(read, { kind: 'request', id: 3, request: rest });
   return body;
 }
 
 test('a request arrives as it was sent, whether or not the other end has said hello', () => {
-  requestRead(request, guard);
-  requestRead(request, undefined);
-  requestRead({ ...request, rootId: request.callerId, isInner: false }, guard);
+  requestRead(hopRequest, guardEnd);
+  requestRead(hopRequest, undefined);
+  requestRead({ ...hopRequest, rootId: hopRequest.callerId, isInner: false }, guardEnd);
 });
 
 test('a request for an earlier run does not arrive as one for the present run', () => {
-  requestRead({ ...request, incarnation: 'run-earlier' }, guard);
+  requestRead({ ...hopRequest, incarnation: 'run-earlier' }, guardEnd);
 });
 
 test('an answer arrives as it was sent', () => {
   const { body, ...head } = answer.answer;
   assert.equal(body.length, 0);
-  const read = carried(answerFields(3, answer), sender, guard);
+  const read = carried(answerFields(3, answer), originEnd, guardEnd);
   assert.deepEqual(read, { kind: 'answer', id: 3, answer: { ...answer, answer: head } });
 });
 
 test('a message before hello, or of another form, is not read', () => {
-  const [, form, ...rest] = helloFields(sender);
-  assert.equal(carried(requestFields(3, request, sender, guard), guard, undefined), undefined);
-  assert.equal(carried(['hello', form + 1, ...rest], guard, undefined), undefined);
-  assert.equal(carried({ kind: 'ping' }, guard, sender), undefined);
-  assert.deepEqual(carried(['hello', form, ...rest], guard, undefined), {
+  const [, form, ...rest] = helloFields(originEnd);
+  assert.equal(
+    carried(requestFields(3, hopRequest, originEnd, guardEnd), guardEnd, undefined),
+    undefined,
+  );
+  assert.equal(carried(['hello', form + 1, ...rest], guardEnd, undefined), undefined);
+  assert.equal(carried({ kind: 'ping' }, guardEnd, originEnd), undefined);
+  assert.deepEqual(carried(['hello', form, ...rest], guardEnd, undefined), {
     kind: 'hello',
-    end: sender,
+    end: originEnd,
   });
 });
--- /dev/null
+++ b/packages/core/src/__tests__/support/hopSamples.ts
@@ -0,0 +1,28 @@
+import type { HopEnd, HopRequest } from '../../forwarding/hopMessages.js';
+
+/** The daemon at the origin. */
+export const originEnd: HopEnd = { incarnation: 'run-a', peerPort: 7001, service: 'circles' };
+
+/** The daemon beside the target. */
+export const guardEnd: HopEnd = { incarnation: 'run-b', peerPort: 7002, service: 'books' };
+
+/** A call of a tree, from the first daemon to the second. */
+export const hopRequest: HopRequest = {
+  attemptId: 'run-a-17',
+  callerId: 'a.1',
+  method: 'POST',
+  url: '/books/1?page=2',
+  host: 'a.example',
+  headers: { accept: '*/*' },
+  body: Buffer.from('body'),
+  remainingMs: 5000,
+  callerService: 'circles',
+  importance: 'high',
+  rootId: 'a',
+  isInner: true,
+  route: 'r-1',
+  service: 'books',
+  incarnation: 'run-b',
+  configurationVersion: 12,
+  peerPort: 7001,
+};
