--- a/packages/core/src/atMostOnce/oneShot.ts
+++ b/packages/core/src/atMostOnce/oneShot.ts
@@ -1,50 +1,16 @@
 import { Err } from 'ts-results-es';
 import { defaultAnswerTableLimits } from './answerTable.js';
-import type { AnswerTableLimits, CallOutcome } from './answerTable.js';
-import type { Clock } from '../runtime/clock.js';
+import type { CallOutcome } from './answerTable.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import { shardOf } from '../calls/idempotencyKey.js';
-import type { Logger } from '../observability/logger.js';
-import type { Directory, Member, ShardClaim } from '../membership/member.js';
 import { defaultOneShotTiming } from './oneShotTiming.js';
-import type { OneShotTiming } from './oneShotTiming.js';
-import type { PeerCaller, PeerMethods } from '../peers/peer.js';
-import type { RandomSource } from '../runtime/random.js';
+import type { OneShotOptions } from './oneShotOptions.js';
 import { ResultCode } from '../runtime/resultCode.js';
 import { createShardDeputy } from './shardDeputy.js';
-import type { ShardDeputyFactory } from './shardDeputy.js';
 import { createShardHome } from './shardHome.js';
-import type { Execute, ShardHomeFactory } from './shardHome.js';
+import type { Execute } from './shardHome.js';
 import { ShardKeeper } from './shardKeeper.js';
-import type { Store } from '../store/store.js';
-
-/** What at-most-once execution at one daemon needs. */
-export interface OneShotOptions {
-  /**
-   * This daemon; its address and peer port are those it listens on already. A daemon that listens
-   * where an earlier one did proves by it that the earlier one has ended.
-   */
-  self: Member;
-  /** Service of the target beside this daemon. */
-  service: string;
-  /** Shards of the service's key space; must never change while keys are in use. */
-  shards: number;
-  store: Store;
-  peers: PeerCaller;
-  /** Where the control methods of `OneShotMethod` are registered, once. */
-  methods: PeerMethods;
-  directory: Directory;
-  clock: Clock;
-  random: RandomSource;
-  logger: Logger;
-  /** Called with all claims whenever they change, to be announced as `Member.homes`. */
-  onClaims: (claims: ShardClaim[]) => void;
-  timing?: Partial<OneShotTiming>;
-  limits?: AnswerTableLimits;
-  createHome?: ShardHomeFactory;
-  createDeputy?: ShardDeputyFactory;
-}
 
 /** State of one shard at this daemon, for `status`. */
 export interface ShardStatus {
--- a/packages/core/src/membership/recordRefresh.ts
+++ b/packages/core/src/atMostOnce/recordRefresh.ts
@@ -1,7 +1,7 @@
-import type { ShardContext } from '../atMostOnce/shardContext.js';
-import type { ShardMoves } from '../atMostOnce/shardMoves.js';
-import { holderOf } from '../atMostOnce/shardRecord.js';
-import type { ShardState } from '../atMostOnce/shardRecord.js';
+import type { ShardContext } from './shardContext.js';
+import type { ShardMoves } from './shardMoves.js';
+import { holderOf } from './shardRecord.js';
+import type { ShardState } from './shardRecord.js';
 
 const RETRY_MS = 5000;
 const SETTLE_MS = 3000;
--- a/packages/core/src/atMostOnce/shardContext.ts
+++ b/packages/core/src/atMostOnce/shardContext.ts
@@ -1,6 +1,6 @@
 import type { AnswerTableLimits } from './answerTable.js';
 import type { DeputyChoice } from './deputyChoice.js';
-import type { OneShotOptions } from './oneShot.js';
+import type { OneShotOptions } from './oneShotOptions.js';
 import type { OneShotTiming } from './oneShotTiming.js';
 import type { ShardBook } from './shardBook.js';
 import type { ShardDeputyFactory } from './shardDeputy.js';
--- a/packages/core/src/atMostOnce/shardKeeper.ts
+++ b/packages/core/src/atMostOnce/shardKeeper.ts
@@ -4,7 +4,7 @@
 import type { Instant } from './oneShotTiming.js';
 import { OneShotMethod, pledgeRequestSchema, shardRevisionSchema } from './pledge.js';
 import { PledgeExchange } from './pledgeExchange.js';
-import { RecordRefresh } from '../membership/recordRefresh.js';
+import { RecordRefresh } from './recordRefresh.js';
 import { ShardBook } from './shardBook.js';
 import type { ShardContext, ShardKeeperOptions } from './shardContext.js';
 import type { ShardHome } from './shardHome.js';
--- a/packages/core/src/configuration/answers.ts
+++ b/packages/core/src/configuration/answers.ts
@@ -1,82 +1,13 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import * as z from 'zod';
-import { checkAnswers } from './checks.js';
-import { importances } from './configuration.js';
 import type { Failure } from '../runtime/failure.js';
 import { ResultCode } from '../runtime/resultCode.js';
-import { mapping, readYaml } from './yamlDocument.js';
+import { answersSchema } from './answersSchema.js';
+import type { Answers } from './answersSchema.js';
+import { checkAnswers } from './checks.js';
+import { readYaml } from './yamlDocument.js';
 import type { YamlSource } from './yamlDocument.js';
 
-const LONGEST_PATIENCE_MS = 600_000;
-const MOST_FURTHER_ATTEMPTS = 32;
-const MOST_SHARDS = 256;
-const MOST_SLOTS = 100_000;
-const LARGEST_BODY_KB = 16 * 1024;
-
-const serviceName = z
-  .string()
-  .regex(
-    /^[a-z][a-zA-Z0-9-]*$/,
-    'name a service with letters, digits and hyphens, such as catalogue',
-  );
-
-const callName = z
-  .string()
-  .regex(
-    /^[a-z][a-zA-Z0-9-]*\.[a-z][a-zA-Z0-9-]*$/,
-    'name a call service.call, such as catalogue.search',
-  );
-
-function wholeNumber(from: number, to: number, example: string) {
-  const error = `write a whole number from ${from} to ${to}, such as ${example}`;
-  return z.int({ error }).min(from, { error }).max(to, { error });
-}
-
-function choice<const T extends readonly string[]>(options: T) {
-  return z.enum(options, { error: `write one of: ${options.join(', ')}` });
-}
-
-const yesOrNo = z.boolean({ error: 'write true or false' });
-
-const serviceAnswers = mapping({
-  upstreams: wholeNumber(1, MOST_SLOTS, '4'),
-  slots: wholeNumber(1, MOST_SLOTS, '130'),
-  connections: wholeNumber(1, MOST_SLOTS, '900'),
-  limit: choice(['adaptive', 'fixed', 'none']).optional(),
-  shards: wholeNumber(1, MOST_SHARDS, '32').optional(),
-});
-
-const callAnswers = mapping({
-  importance: choice(importances),
-  mayRepeat: yesOrNo,
-  keyed: yesOrNo.optional(),
-  patienceMs: wholeNumber(1, LONGEST_PATIENCE_MS, '2000').optional(),
-  furtherAttempts: wholeNumber(0, MOST_FURTHER_ATTEMPTS, '3').optional(),
-  largestAnswerKb: wholeNumber(1, LARGEST_BODY_KB, '512').optional(),
-  largestRequestKb: wholeNumber(1, LARGEST_BODY_KB, '64').optional(),
-  calls: z.array(callName, { error: 'write a list of calls, such as [catalogue.hold]' }).optional(),
-});
-
-const answersSchema = mapping({
-  version: z.literal(1, { error: 'write 1, the version of this questionnaire' }),
-  weighsMore: choice(['goodput', 'recovery']),
-  dataCentres: z
-    .array(z.string(), { error: 'write a list of names, such as [hobart, burnie]' })
-    .min(1, { error: 'name at least one data centre' }),
-  services: z.record(serviceName, serviceAnswers, { error: 'write a mapping of services' }),
-  calls: z.record(callName, callAnswers, { error: 'write a mapping of calls' }),
-});
-
-/** Answers of the operators to the questionnaire. */
-export type Answers = z.infer<typeof answersSchema>;
-
-/** Answers about one call. */
-export type CallAnswers = z.infer<typeof callAnswers>;
-
-/** Answers about one service. */
-export type ServiceAnswers = z.infer<typeof serviceAnswers>;
-
 /** Reads and checks answers; `answersInvalid` names file, line, path and what would be right. */
 export function readAnswers(source: YamlSource): Result<Answers, Failure> {
   const document = readYaml(source, answersSchema, ResultCode.answersInvalid);
--- a/packages/core/src/configuration/checks.ts
+++ b/packages/core/src/configuration/checks.ts
@@ -1,4 +1,4 @@
-import type { Answers, CallAnswers } from './answers.js';
+import type { Answers, CallAnswers } from './answersSchema.js';
 import { findCycle, parentIndexOf } from './callGraph.js';
 import { callGraphOf, deadlinesOf, isKeyed } from './generate.js';
 import type { YamlProblem } from './yamlDocument.js';
--- a/packages/core/src/configuration/generate.ts
+++ b/packages/core/src/configuration/generate.ts
@@ -1,4 +1,4 @@
-import type { Answers, CallAnswers, ServiceAnswers } from './answers.js';
+import type { Answers, CallAnswers, ServiceAnswers } from './answersSchema.js';
 import { parentIndexOf, parentsFirst } from './callGraph.js';
 import type { CallGraph } from './callGraph.js';
 import type { CallPolicy, Configuration, Importance, ServicePolicy } from './configuration.js';
