--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -221,9 +221,8 @@
 }
 
 function answerOf(fields: AnswerFields, other: HopEnd): HopMessage {
-  const [, id, code, reached, status, headers, endsWithConnection] = fields;
-  const [inFlight, waiting, limit, serviceMs, shedLevel, configurationVersion, message] =
-    fields.slice(7) as [number, number, number, number, number, number, string];
+  const [, id, code, reached, status, headers, endsWithConnection, ...rest] = fields;
+  const [inFlight, waiting, limit, serviceMs, shedLevel, configurationVersion, message] = rest;
   return {
     kind: 'answer',
     id,
