--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -187,15 +187,8 @@
 }
 
 function requestOf(fields: RequestFields, own: HopEnd, other: HopEnd): HopMessage {
-  const [, id, attempt, callerId, method, url, host, headers, remainingMs, importance] = fields;
-  const [rootId, isInner, route, service, incarnation, configurationVersion] = fields.slice(10) as [
-    string,
-    0 | 1,
-    string,
-    string,
-    string,
-    number,
-  ];
+  const [, id, attempt, callerId, method, url, host, headers, remainingMs, ...rest] = fields;
+  const [importance, rootId, isInner, route, service, incarnation, configurationVersion] = rest;
   return {
     kind: 'request',
     id,
