--- a/packages/core/src/__tests__/peerExchange.spec.ts
+++ b/packages/core/src/__tests__/peerExchange.spec.ts
@@ -12,25 +12,13 @@
 import { createSeededRandom } from '../runtime/random.js';
 import type { RoutingConfiguration } from '../routes/route.js';
 import { RoutingKeeper } from '../routes/routingKeeper.js';
+import { targetRecord } from './support/targetRecordSample.js';
 
 const clock = new ManualClock();
 const methods = new Map<string, PeerMethod>();
 
 function recordOf(host: string, version = 1): TargetRecord {
-  return {
-    targetId: `i-${host}`,
-    startedAt: 1,
-    service: 'books',
-    dataCentre: 'hobart',
-    slots: 10,
-    state: 'ready',
-    warmAt: 0,
-    address: host,
-    callPort: 1,
-    peerPort: 2,
-    incarnation: 'run',
-    version,
-  };
+  return { ...targetRecord, targetId: `i-${host}`, address: host, incarnation: 'run', version };
 }
 
 /** A daemon that reaches the others by their host names. */
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -6,21 +6,9 @@
 import type { TargetRecord } from '../directory/targetRecord.js';
 import { silentLogger } from '../observability/logger.js';
 import { ManualClock } from '../runtime/manualClock.js';
+import { targetRecord } from './support/targetRecordSample.js';
 
-const record: TargetRecord = {
-  targetId: 'i-1',
-  startedAt: 1,
-  service: 'books',
-  dataCentre: 'hobart',
-  slots: 10,
-  state: 'ready',
-  warmAt: 0,
-  address: '10.0.0.1',
-  callPort: 1,
-  peerPort: 2,
-  incarnation: 'run-1',
-  version: 3,
-};
+const record = targetRecord;
 
 function put(directory: TargetDirectory, change: Partial<TargetRecord> = {}): void {
   directory.put('targets/a', JSON.stringify({ ...record, ...change }));
--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -8,6 +8,7 @@
 import { TargetPlacement } from '../placement/targetPlacement.js';
 import { createSeededRandom } from '../runtime/random.js';
 import { ResultCode } from '../runtime/resultCode.js';
+import { targetRecord } from './support/targetRecordSample.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
 
 const idle: TargetLoad = { inFlight: 0, waiting: 0, limit: 10, serviceMs: 50 };
@@ -31,16 +32,10 @@
   const directory = new TargetDirectory(clock, silentLogger);
   ['here-1', 'here-2', 'there-1', 'there-2'].forEach((key, index) => {
     directory.learn(key, {
+      ...targetRecord,
       targetId: key,
-      startedAt: 1,
-      service: 'books',
       dataCentre: key.startsWith('here') ? 'hobart' : 'burnie',
-      slots: 10,
-      state: 'ready',
-      warmAt: 0,
       address: `10.0.0.${index}`,
-      callPort: 1,
-      peerPort: 2,
       incarnation: 'run',
       version: 1,
     });
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -131,6 +131,11 @@
   return value ? 1 : 0;
 }
 
+/** Id of an attempt that this end makes. */
+export function attemptIdOf({ incarnation }: HopEnd, number: number): string {
+  return `${incarnation}-${number}`;
+}
+
 /** Fields of the first message on a connection. */
 export function helloFields({ incarnation, peerPort, service }: HopEnd): HelloFields {
   return ['hello', HOP_PROTOCOL, incarnation, peerPort, service];
@@ -193,7 +198,7 @@
     kind: 'request',
     id,
     request: {
-      attemptId: typeof attempt === 'number' ? `${other.incarnation}-${attempt}` : attempt,
+      attemptId: typeof attempt === 'number' ? attemptIdOf(other, attempt) : attempt,
       callerId,
       method,
       url,
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -15,7 +15,8 @@
 import type { RouteLevels } from '../placement/routeLevels.js';
 import type { RoutingKeeper } from '../routes/routingKeeper.js';
 import type { ForwardedRequest } from './forwardedRequest.js';
-import type { HopAnswer, HopRequest } from './hopMessages.js';
+import { attemptIdOf } from './hopMessages.js';
+import type { HopAnswer, HopEnd, HopRequest } from './hopMessages.js';
 import type { HopSender } from './hopSender.js';
 import { Passage } from './passage.js';
 import type { AttemptEnd } from './passage.js';
@@ -62,12 +63,8 @@
   trees: RequestTrees;
   sender: HopSender;
   retryBudget: RetryBudget;
-  /** Port for control messages of this daemon. */
-  peerPort: number;
-  /** Id of this run of the daemon. */
-  incarnation: string;
-  /** Service that runs on this host. */
-  ownService: () => string;
+  /** What requests to other daemons tell of this one. */
+  own: HopEnd;
   /** True once nothing new is begun; calls of trees that have begun go on. */
   isClosing: () => boolean;
   /** Called with the version that another daemon has in force. */
@@ -94,7 +91,7 @@
     const { request, route } = passage;
     lastAttempt += 1;
     return {
-      attemptId: `${options.incarnation}-${lastAttempt}`,
+      attemptId: attemptIdOf(options.own, lastAttempt),
       callerId: request.id,
       method: request.method,
       url: request.url,
@@ -102,7 +99,7 @@
       headers: request.headers,
       body: request.body,
       remainingMs,
-      callerService: options.ownService(),
+      callerService: options.own.service,
       importance: passage.importance,
       rootId: passage.rootId,
       isInner: passage.isInner,
@@ -110,7 +107,7 @@
       service: passage.service,
       incarnation: placement.incarnationOf(target),
       configurationVersion: routing.version(),
-      peerPort: options.peerPort,
+      peerPort: options.own.peerPort,
     };
   }
 
--- a/packages/daemon/src/forwardingParts.ts
+++ b/packages/daemon/src/forwardingParts.ts
@@ -48,17 +48,15 @@
   guard: TargetGuard,
   news: FleetNews,
 ): RequestGateway {
-  const { settings, clock, random, logger } = options;
-  const { state, hopClient, peers } = known;
+  const { clock, random, logger } = options;
+  const { state, hopClient, hopEnd, peers } = known;
   return createRequestGateway({
     ...known,
     clock,
     random,
     logger,
     sender: createHopSender({ client: hopClient, peers, guard, ownKey: state.ownKey }),
-    peerPort: settings.listen.peerPort,
-    incarnation: state.incarnation,
-    ownService: () => settings.service,
+    own: hopEnd,
     isClosing: () => state.isClosing,
     onPeerVersion: (_version, { record }: KnownTarget) => {
       news.askPeer(record.address, record.peerPort);
