--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -14,24 +14,13 @@
 
 /** Connect timeout, in milliseconds; hosts of a region respond within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
-/** Interval of liveness checks of a connection with requests in flight, in milliseconds. */
-const LIVENESS_CHECK_INTERVAL_MS = 150;
-/** Time without data after which a ping is sent, in milliseconds. */
-const PING_IDLE_MS = 150;
-/**
- * Time without data after which the remote daemon is reported as unresponsive, in milliseconds;
- * the pong to the first ping is overdue by then.
- */
-const UNRESPONSIVE_IDLE_MS = 400;
-/** Time without data after which a connection with requests in flight is closed, in milliseconds. */
-const MAX_IDLE_MS = 1000;
 /** Unsent bytes on a connection above which it accepts no more requests. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
 /** Event handlers of a connection. */
 export interface HopConnectionEvents {
-  /** No data has arrived for `idleMs` milliseconds, although a ping was sent. */
-  unresponsive(idleMs: number): void;
+  /** Data has arrived, or the connection was established. */
+  received(): void;
   /** The connection is closed and all its requests are settled. */
   closed(connection: HopConnection): void;
 }
@@ -54,9 +43,7 @@
 
   private lastId = 0;
 
-  private lastReceivedAt = 0;
-
-  private timer: Timer | undefined;
+  private readonly connectTimer: Timer;
 
   /** The remote end; undefined until its hello arrives. */
   private remote: HopPeer | undefined;
@@ -64,6 +51,12 @@
   /** When a request last used the connection, on the monotonic clock, in milliseconds. */
   lastUsedAt: number;
 
+  /**
+   * When data last arrived or the first request in flight was sent, on the monotonic clock, in
+   * milliseconds.
+   */
+  lastReceivedAt: number;
+
   constructor(
     private readonly endpoint: Endpoint,
     private readonly local: HopPeer,
@@ -71,12 +64,13 @@
     private readonly events: HopConnectionEvents,
   ) {
     this.lastUsedAt = clock.now();
+    this.lastReceivedAt = this.lastUsedAt;
     this.socket = connect({ host: endpoint.address, port: endpoint.port, noDelay: true });
     this.stream = new MessageStream(this.socket, (fields, body) =>
       this.handleMessage(fields, body),
     );
     this.stream.write(encodeHello(local));
-    this.timer = clock.startTimer(CONNECT_TIMEOUT_MS, () => {
+    this.connectTimer = clock.startTimer(CONNECT_TIMEOUT_MS, () => {
       this.closeWithFailure(
         ResultCode.notRunConnect,
         `no connection within ${CONNECT_TIMEOUT_MS} ms`,
@@ -105,7 +99,7 @@
     this.lastId += 1;
     const id = this.lastId;
     this.lastUsedAt = this.clock.now();
-    if (this.pending.size === 0 && this.isConnected) this.startLivenessChecks();
+    if (this.pending.size === 0) this.lastReceivedAt = this.lastUsedAt;
     return new Promise((resolve) => {
       const onAbort = (): void =>
         this.cancelRequest(
@@ -128,6 +122,16 @@
     });
   }
 
+  /** Asks the remote daemon for a sign of life. */
+  ping(): void {
+    if (this.isConnected) this.stream.write(['ping']);
+  }
+
+  /** Closes the connection because nothing has arrived on it for `idleMs` milliseconds. */
+  closeSilent(idleMs: number): void {
+    this.handleConnectionLost(`no data received for ${Math.round(idleMs)} ms`);
+  }
+
   /** Closes the connection at once; requests in flight fail. */
   close(): void {
     this.handleConnectionLost('the connection was closed locally');
@@ -135,11 +139,17 @@
 
   private handleConnect(): void {
     this.isConnected = true;
-    this.startLivenessChecks();
+    this.connectTimer.cancel();
+    this.recordReceived();
   }
 
-  private handleMessage(fields: unknown, body: Buffer): void {
+  private recordReceived(): void {
     this.lastReceivedAt = this.clock.now();
+    this.events.received();
+  }
+
+  private handleMessage(fields: unknown, body: Buffer): void {
+    this.recordReceived();
     const message = decodeHopMessage(fields, this.local, this.remote);
     if (!message) this.handleConnectionLost('invalid message, or a different protocol version');
     if (message?.kind === 'hello') this.remote = message.peer;
@@ -157,25 +167,6 @@
     pending.settle(Err(createFailure(code, message)));
   }
 
-  /** Checks the connection regularly while requests are in flight. */
-  private startLivenessChecks(): void {
-    this.timer?.cancel();
-    this.lastReceivedAt = this.clock.now();
-    this.timer = this.clock.startTimer(LIVENESS_CHECK_INTERVAL_MS, () => this.checkLiveness());
-  }
-
-  private checkLiveness(): void {
-    if (this.pending.size === 0) return;
-    const idleMs = this.clock.now() - this.lastReceivedAt;
-    if (idleMs > MAX_IDLE_MS) {
-      this.handleConnectionLost(`no data received for ${Math.round(idleMs)} ms`);
-      return;
-    }
-    if (idleMs > UNRESPONSIVE_IDLE_MS) this.events.unresponsive(idleMs);
-    if (idleMs >= PING_IDLE_MS) this.stream.write(['ping']);
-    this.timer = this.clock.startTimer(LIVENESS_CHECK_INTERVAL_MS, () => this.checkLiveness());
-  }
-
   private handleConnectionLost(message: string): void {
     // Nothing has been sent while the connection is not established.
     const code = this.isConnected ? ResultCode.unknownConnectionLost : ResultCode.notRunConnect;
@@ -185,7 +176,7 @@
   private closeWithFailure(code: ResultNumber, message: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    this.timer?.cancel();
+    this.connectTimer.cancel();
     this.socket.destroy();
     const failure = createFailure(
       code,
--- a/packages/core/src/http/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -14,6 +14,8 @@
 const IDLE_GRACE_MS = 20;
 const FIRST_FINAL_STATUS = 200;
 const statusesWithoutBody = new Set([204, 304]);
+/** Spares the HTTP library to derive a TLS server name from the host of each request. */
+const plainConnection = { servername: 'plain' };
 
 /** Settings shared by the exchanges of one transport. */
 export interface ExchangeSettings {
@@ -112,6 +114,7 @@
         path,
         headers,
         body: body.length > 0 ? body : null,
+        ...plainConnection,
       },
       this,
     );
