--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,10 @@
       'no-console': 'error',
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { globals: { __dirname: 'readonly' } },
+  },
   {
     files: ['scripts/**', 'playground/**', 'packages/cli/**'],
     rules: { 'no-console': 'off' },
