perf(core): store requests that grow more slowly than the fleet, digests between daemons

Leases last 10 s; a daemon that responds stays in use after its lease, since a host that the store turns away is not gone. Daemons compare digests and send only the records of parts that differ. The store orders the incarnations of a daemon: with the clock set back, a restarted daemon had a smaller id than before, and its record was ignored for good (spec). A change made during a store call is published at once instead of 0.9 s later (spec).

--- a/packages/core/src/__tests__/peerExchange.spec.ts
+++ b/packages/core/src/__tests__/peerExchange.spec.ts
@@ -42,6 +42,7 @@
     directory,
     routing,
     ownKey: host,
+    dataCentre: 'hobart',
     ownRecord: () => recordOf(host),
     isStoreReachable: () => false,
   });
@@ -73,6 +74,38 @@
   assert.ok(connected.directory.targetsOf('books').some(({ key }) => key === 'isolated'));
 });
 
+test('daemons that know the same records exchange none, and a difference sends a small part', async () => {
+  const sizes: number[] = [];
+  const requester = createDaemon('requester');
+  const responder = createDaemon('responder');
+  for (let index = 0; index < 400; index++) {
+    requester.directory.update(`host-${index}`, recordOf(`host-${index}`));
+    responder.directory.update(`host-${index}`, recordOf(`host-${index}`));
+  }
+  const respond = methods.get('responder fleet.exchange') as PeerMethod;
+  methods.set('responder fleet.exchange', async (params) => {
+    const response = (await respond(params)) as { records: unknown[] };
+    sizes.push(response.records.length);
+    return response;
+  });
+  await requester.exchange.exchangeWith('responder', 2);
+  responder.directory.update('host-7', recordOf('host-7', 2));
+  await requester.exchange.exchangeWith('responder', 2);
+  assert.equal(sizes[0], 0);
+  assert.ok((sizes[1] as number) > 0 && (sizes[1] as number) < 40, `${sizes[1]} records`);
+  assert.equal(requester.directory.get('host-7')?.record.version, 2);
+});
+
+test('a request for a configuration only carries no records', async () => {
+  const requester = createDaemon('requester');
+  const responder = createDaemon('responder');
+  responder.routing.applyIfNewer(configuration, 'store');
+  responder.directory.update('third', recordOf('third'));
+  await requester.exchange.requestConfiguration('responder', 2);
+  assert.equal(requester.routing.version(), 9);
+  assert.equal(requester.directory.get('third'), undefined);
+});
+
 test('a record from a peer expires unless it is received again, and never replaces a newer one', async () => {
   const { directory } = createDaemon('host');
   directory.setStoreReachable(true);
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -10,8 +10,11 @@
 
 const record = targetRecord;
 
+let lastRevision = 0;
+
 function updateFromStore(directory: TargetDirectory, change: Partial<TargetRecord> = {}): void {
-  directory.updateFromStore('targets/a', JSON.stringify({ ...record, ...change }));
+  lastRevision += 1;
+  directory.updateFromStore('targets/a', JSON.stringify({ ...record, ...change }), lastRevision);
 }
 
 function createDirectory() {
@@ -24,8 +27,8 @@
 test('invalid records add no target and leave the known record in place', () => {
   const { directory } = createDirectory();
   updateFromStore(directory);
-  directory.updateFromStore('targets/a', '{"service":7}');
-  directory.updateFromStore('targets/b', 'not JSON');
+  directory.updateFromStore('targets/a', '{"service":7}', 100);
+  directory.updateFromStore('targets/b', 'not JSON', 101);
   updateFromStore(directory, { state: 'unsupported' as 'ready' });
   assert.deepEqual(
     directory.all().map(({ record: { targetId } }) => targetId),
@@ -64,6 +67,51 @@
   assert.equal(directory.targetsOf('books').length, 1);
 });
 
+test('the record of a later start is used although its clock was set back', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory, { incarnation: '0190-later', state: 'stopping', version: 9 });
+  updateFromStore(directory, { incarnation: '0180-earlier', state: 'ready', version: 1 });
+  assert.equal(directory.targetsOf('books')[0]?.record.state, 'ready');
+});
+
+test('an event of a former incarnation that comes late from the store does not replace a newer one', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory, { incarnation: '0190', state: 'ready' });
+  const late = JSON.stringify({ ...record, incarnation: '0180', state: 'stopping' });
+  directory.updateFromStore('targets/a', late, lastRevision - 1);
+  assert.equal(directory.targetsOf('books')[0]?.record.state, 'ready');
+});
+
+test('a daemon that still responds is kept after the store has dropped its record', async () => {
+  const { clock, directory } = createDirectory();
+  updateFromStore(directory);
+  directory.remove('targets/a');
+  for (let second = 0; second < 20; second++) {
+    directory.recordContact('targets/a', record.incarnation);
+    await clock.advance(1000);
+  }
+  assert.equal(directory.targetsOf('books').length, 1);
+  await clock.advance(10_000);
+  assert.equal(directory.targetsOf('books').length, 0);
+});
+
+test('a response of another incarnation does not keep an expired record', async () => {
+  const { clock, directory } = createDirectory();
+  updateFromStore(directory);
+  directory.remove('targets/a');
+  directory.recordContact('targets/a', 'another');
+  await clock.advance(3000);
+  assert.equal(directory.targetsOf('books').length, 0);
+});
+
+test('a target that changes its service is found under the new one only', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory);
+  updateFromStore(directory, { service: 'loans', version: 4 });
+  assert.equal(directory.targetsOf('books').length, 0);
+  assert.equal(directory.targetsOf('loans').length, 1);
+});
+
 test('the record of a stopping target is removed as soon as the store drops it', () => {
   const { directory } = createDirectory();
   updateFromStore(directory, { state: 'stopping' });
--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -4,6 +4,7 @@
 import type { RandomSource } from '../runtime/random.js';
 import type { RoutingConfiguration } from '../routes/route.js';
 import type { RoutingManager } from '../routes/routingManager.js';
+import { bucketOf, decodeDigests, directoryDigests, encodeDigests } from './directoryDigests.js';
 import { parseTargetRecord } from './targetRecord.js';
 import type { TargetRecord } from './targetRecord.js';
 import type { KnownTarget, TargetDirectory } from './targetDirectory.js';
@@ -15,8 +16,12 @@
 const EXCHANGE_INTERVAL_MS = 1000;
 const EXCHANGE_TIMEOUT_MS = 700;
 
-/** Peers contacted in one round; the limit bounds the load in large fleets. */
-const MAX_PEERS_PER_ROUND = 16;
+/**
+ * Peers contacted in one round, in this data centre and in others; bytes between data centres are
+ * costly, and one contact in each direction spreads what either side knows.
+ */
+const LOCAL_PEERS_PER_ROUND = 4;
+const REMOTE_PEERS_PER_ROUND = 1;
 
 interface KeyedRecord {
   key: string;
@@ -26,11 +31,14 @@
 interface ExchangeRequest {
   version: number;
   own: KeyedRecord | undefined;
+  /** Digests of the sender's directory; absent if it needs no records. */
+  digests: string | undefined;
 }
 
 interface ExchangeResponse {
   /** Present if it is newer than the version in the request. */
   configuration: RoutingConfiguration | undefined;
+  /** Records of the parts of the directory whose digests differ. */
   records: KeyedRecord[];
 }
 
@@ -44,6 +52,8 @@
   directory: TargetDirectory;
   routing: RoutingManager;
   ownKey: string;
+  /** Data centre of this daemon. */
+  dataCentre: string;
   ownRecord: () => TargetRecord | undefined;
   isStoreReachable: () => boolean;
 }
@@ -68,13 +78,23 @@
     }
   }
 
+  /** Requests a newer configuration from one daemon. */
+  async requestConfiguration(address: string, port: number): Promise<void> {
+    await this.send(address, port, undefined);
+  }
+
   /** Exchanges configuration and target records with one daemon. */
   async exchangeWith(address: string, port: number): Promise<void> {
+    await this.send(address, port, encodeDigests(directoryDigests(this.options.directory)));
+  }
+
+  private async send(address: string, port: number, digests: string | undefined): Promise<void> {
     const { peers, routing, ownKey, ownRecord, directory, logger } = this.options;
     const record = ownRecord();
     const params: ExchangeRequest = {
       version: routing.version(),
       own: record && { key: ownKey, record },
+      digests,
     };
     const response = await peers.call<ExchangeResponse>(
       { address, port },
@@ -95,27 +115,50 @@
   }
 
   private async exchangeWithSample(): Promise<void> {
-    const { directory, random, ownKey } = this.options;
+    const { directory, ownKey, dataCentre } = this.options;
     const peers = directory.all().filter(({ key }) => key !== ownKey);
-    while (peers.length > MAX_PEERS_PER_ROUND) {
-      peers.splice(Math.floor(random.next() * peers.length), 1);
-    }
+    const local = peers.filter(({ record }) => record.dataCentre === dataCentre);
+    const remote = peers.filter(({ record }) => record.dataCentre !== dataCentre);
+    const chosen = [
+      ...this.sample(local, LOCAL_PEERS_PER_ROUND),
+      ...this.sample(remote, REMOTE_PEERS_PER_ROUND),
+    ];
     await Promise.all(
-      peers.map(({ record }: KnownTarget) => this.exchangeWith(record.address, record.peerPort)),
+      chosen.map(({ record }) => this.exchangeWith(record.address, record.peerPort)),
     );
   }
 
-  private respond({ version, own }: ExchangeRequest): ExchangeResponse {
+  private sample(targets: KnownTarget[], count: number): KnownTarget[] {
+    const remaining = [...targets];
+    const chosen: KnownTarget[] = [];
+    while (chosen.length < count && remaining.length > 0) {
+      const index = Math.floor(this.options.random.next() * remaining.length);
+      chosen.push(...remaining.splice(index, 1));
+    }
+    return chosen;
+  }
+
+  private respond({ version, own, digests }: ExchangeRequest): ExchangeResponse {
     const { directory, routing } = this.options;
     const record = own && parseTargetRecord(JSON.stringify(own.record));
     if (own && record) directory.updateFromPeer(own.key, record);
     const current = routing.current();
     return {
       configuration: current && current.version > version ? current : undefined,
-      records: directory
-        .all()
-        .filter(({ expiredAt }) => expiredAt === undefined)
-        .map(({ key, record: known }) => ({ key, record: known })),
+      records: digests === undefined ? [] : this.differingRecords(decodeDigests(digests)),
     };
   }
+
+  /** Valid records in the parts of the directory whose digests differ from `digests`. */
+  private differingRecords(digests: Uint32Array): KeyedRecord[] {
+    const { directory } = this.options;
+    const own = directoryDigests(directory);
+    return directory
+      .all()
+      .filter(({ key, expiredAt }) => {
+        const bucket = bucketOf(key);
+        return expiredAt === undefined && own[bucket] !== digests[bucket];
+      })
+      .map(({ key, record }) => ({ key, record }));
+  }
 }
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -2,16 +2,17 @@
 import type { Failure } from '../runtime/failure.js';
 import type { Logger } from '../observability/logger.js';
 import type { Store } from '../store/store.js';
+import type { StorePacing } from '../store/storePacing.js';
 import type { TargetRecord } from './targetRecord.js';
 
-/** Time after which the record of a daemon that has stopped expires, in seconds. */
-const LEASE_TTL_S = 3;
+/**
+ * Time after which the record of a daemon that has stopped expires, in seconds. Daemons notice much
+ * earlier that a host does not respond; the lease only removes what nobody else does.
+ */
+const LEASE_TTL_S = 10;
 
 /** Interval of lease renewals, in milliseconds; tolerates two lost renewals. */
-const RENEW_INTERVAL_MS = 900;
-
-/** Delay before the next attempt after a failed store call, in milliseconds. */
-const RETRY_DELAY_MS = 300;
+const RENEW_INTERVAL_MS = 3000;
 
 /** Options of `TargetAnnouncer`. */
 export interface TargetAnnouncerOptions {
@@ -20,6 +21,9 @@
   store: Store;
   clock: Clock;
   logger: Logger;
+  pacing: StorePacing;
+  /** Whether the store is reachable; while it is not, only the watches probe it. */
+  isStoreReachable: () => boolean;
   /** The record to publish; undefined while no target is known. */
   record: () => TargetRecord | undefined;
 }
@@ -32,12 +36,18 @@
 
   private modRevision: number | undefined;
 
+  private failures = 0;
+
+  /** True when a round was requested that has not begun. */
+  private isRoundDue = false;
+
   private interruptWait: (() => void) | undefined;
 
   constructor(private readonly options: TargetAnnouncerOptions) {}
 
   /** Starts the next round now instead of after the current wait. */
   publishSoon(): void {
+    this.isRoundDue = true;
     this.interruptWait?.();
   }
 
@@ -50,14 +60,22 @@
 
   /** Runs until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.options;
     while (!signal.aborted) {
+      this.isRoundDue = false;
       const isDone = await this.publish();
-      await this.wait(isDone ? RENEW_INTERVAL_MS : RETRY_DELAY_MS, signal, clock);
+      this.failures = isDone ? 0 : this.failures + 1;
+      if (!this.isRoundDue) await this.wait(this.nextWaitMs(), signal);
     }
   }
 
-  private async wait(ms: number, signal: AbortSignal, clock: Clock): Promise<void> {
+  private nextWaitMs(): number {
+    const { pacing, isStoreReachable } = this.options;
+    if (this.failures === 0 || !isStoreReachable()) return RENEW_INTERVAL_MS;
+    return pacing.retryWaitMs(this.failures);
+  }
+
+  private async wait(ms: number, signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
     const waiting = new AbortController();
     this.interruptWait = () => waiting.abort();
     const stop = (): void => waiting.abort();
@@ -103,14 +121,10 @@
 
   private async writeRecord(value: string): Promise<boolean> {
     const { store, key, logger } = this.options;
-    if (this.modRevision === undefined) {
-      const found = await store.get(key);
-      if (found.isErr()) return this.logFailure('record read failed', found.error);
-      this.modRevision = found.value?.modRevision ?? 0;
-    }
-    const swapped = await store.swap(key, this.modRevision, value, this.lease);
+    // If the record exists at another revision, the swap fails and returns that revision.
+    const swapped = await store.swap(key, this.modRevision ?? 0, value, this.lease);
     if (swapped.isErr()) {
-      // The write may have taken effect or may still do so: read the record before the next attempt.
+      // The write may have taken effect or may still do so, so the revision is unknown.
       this.modRevision = undefined;
       return this.logFailure('record write failed', swapped.error);
     }
--- a/packages/core/src/directory/targetDirectory.ts
+++ b/packages/core/src/directory/targetDirectory.ts
@@ -12,6 +12,12 @@
  */
 const GRACE_MS = 2500;
 
+/**
+ * Time after its last response for which a daemon counts as running although its record has expired,
+ * in milliseconds. The store may turn away a host that other hosts reach.
+ */
+const CONTACT_GRACE_MS = 10_000;
+
 /** A known target and the state of its record. */
 export interface KnownTarget {
   /** Store key of the record. */
@@ -19,8 +25,12 @@
   record: TargetRecord;
   /** Monotonic time at which the record was last received, in milliseconds. */
   receivedAt: number;
+  /** Revision at which the store held the record; 0 if only other daemons have reported it. */
+  storeRevision: number;
   /** Monotonic time at which the record expired, in milliseconds; undefined while it is valid. */
   expiredAt: number | undefined;
+  /** Monotonic time of the last response of the target's daemon, in milliseconds. */
+  contactAt: number | undefined;
 }
 
 /** True if `record` is from a later incarnation, or a later version from the same one. */
@@ -58,6 +68,16 @@
     return [...this.targetsByKey.values()];
   }
 
+  /** Number of known targets, including expired ones that are about to be dropped. */
+  get size(): number {
+    return this.targetsByKey.size;
+  }
+
+  /** The target with the record `key`, if it is known. */
+  get(key: string): KnownTarget | undefined {
+    return this.targetsByKey.get(key);
+  }
+
   /** Sets whether the store is reachable; expired records are kept while it is not. */
   setStoreReachable(isReachable: boolean): void {
     if (!isReachable) this.storeReachableSince = undefined;
@@ -65,29 +85,34 @@
   }
 
   /** Adds or replaces the record that the store holds under `key`; invalid records are ignored. */
-  updateFromStore(key: string, value: string): void {
+  updateFromStore(key: string, value: string, revision: number): void {
     const record = parseTargetRecord(value);
     if (!record) {
       this.logger.log('warn', 'invalid target record ignored', { key });
       return;
     }
-    this.update(key, record);
+    const known = this.targetsByKey.get(key);
+    // The store orders the incarnations of a daemon; its clock may have been set back in between.
+    const replacesIncarnation =
+      known !== undefined &&
+      known.record.incarnation !== record.incarnation &&
+      revision > known.storeRevision &&
+      known.storeRevision > 0;
+    if (!replacesIncarnation && known && isNewer(known.record, record)) return;
+    this.put(key, record, revision);
   }
 
   /** Adds or replaces a record unless a newer one is known. */
   update(key: string, record: TargetRecord): void {
     const known = this.targetsByKey.get(key);
     if (known && isNewer(known.record, record)) return;
-    this.targetsByKey.set(key, { key, record, receivedAt: this.clock.now(), expiredAt: undefined });
-    this.rebuildServiceIndex();
-    if (known?.record.version === record.version && known.expiredAt === undefined) return;
-    this.logger.log('info', 'target record updated', {
-      key,
-      service: record.service,
-      target: record.targetId,
-      state: record.state,
-      recordVersion: record.version,
-    });
+    this.put(key, record, known?.storeRevision ?? 0);
+  }
+
+  /** Records a response of a daemon, which keeps its record in use after the record has expired. */
+  recordContact(key: string, incarnation: string): void {
+    const known = this.targetsByKey.get(key);
+    if (known?.record.incarnation === incarnation) known.contactAt = this.clock.now();
   }
 
   /**
@@ -96,11 +121,11 @@
    */
   updateFromPeer(key: string, record: TargetRecord): void {
     const known = this.targetsByKey.get(key);
-    if (known && known.expiredAt === undefined && !isNewer(record, known.record)) return;
-    this.update(key, record);
-    const updated = this.targetsByKey.get(key);
-    if (!updated) return;
-    updated.expiredAt = this.clock.now();
+    if (known && isNewer(known.record, record)) return;
+    const isSame = known !== undefined && !isNewer(record, known.record);
+    if (isSame && known.expiredAt === undefined) return;
+    const target = isSame ? known : this.put(key, record, known?.storeRevision ?? 0);
+    target.expiredAt = this.clock.now();
     this.expiredKeys.add(key);
   }
 
@@ -115,10 +140,52 @@
     }
   }
 
+  /** Stores a valid record and returns its entry. */
+  private put(key: string, record: TargetRecord, storeRevision: number): KnownTarget {
+    const known = this.targetsByKey.get(key);
+    if (known) this.removeFromService(known);
+    const receivedAt = this.clock.now();
+    const contactAt =
+      known?.record.incarnation === record.incarnation ? known.contactAt : undefined;
+    const target: KnownTarget = {
+      key,
+      record,
+      receivedAt,
+      storeRevision,
+      expiredAt: undefined,
+      contactAt,
+    };
+    this.targetsByKey.set(key, target);
+    const targets = this.targetsByService.get(record.service);
+    if (targets) targets.push(target);
+    else this.targetsByService.set(record.service, [target]);
+    const isUnchanged =
+      known?.record.version === record.version &&
+      known.record.incarnation === record.incarnation &&
+      known.expiredAt === undefined;
+    if (!isUnchanged) {
+      this.logger.log('info', 'target record updated', {
+        key,
+        service: record.service,
+        target: record.targetId,
+        state: record.state,
+        recordVersion: record.version,
+      });
+    }
+    return target;
+  }
+
+  private removeFromService(target: KnownTarget): void {
+    const { service } = target.record;
+    const others = this.targetsByService.get(service)?.filter((known) => known !== target) ?? [];
+    if (others.length > 0) this.targetsByService.set(service, others);
+    else this.targetsByService.delete(service);
+  }
+
   private drop(known: KnownTarget, reason: string): void {
     this.targetsByKey.delete(known.key);
     this.expiredKeys.delete(known.key);
-    this.rebuildServiceIndex();
+    this.removeFromService(known);
     this.logger.log('info', 'target removed', {
       key: known.key,
       service: known.record.service,
@@ -135,16 +202,13 @@
     this.expiredKeys.forEach((key) => {
       const known = this.targetsByKey.get(key);
       if (known?.expiredAt === undefined) this.expiredKeys.delete(key);
-      else if (now - Math.max(known.expiredAt, since) > GRACE_MS) this.drop(known, 'lapsed');
+      else if (now - Math.max(known.expiredAt, since) > GRACE_MS && !this.hasContact(known)) {
+        this.drop(known, 'lapsed');
+      }
     });
   }
 
-  private rebuildServiceIndex(): void {
-    this.targetsByService.clear();
-    this.targetsByKey.forEach((known) => {
-      const list = this.targetsByService.get(known.record.service) ?? [];
-      list.push(known);
-      this.targetsByService.set(known.record.service, list);
-    });
+  private hasContact({ contactAt }: KnownTarget): boolean {
+    return contactAt !== undefined && this.clock.now() - contactAt < CONTACT_GRACE_MS;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,7 +34,7 @@
   Permit,
 } from './admission/admission.js';
 export { Store } from './store/store.js';
-export type { StoreEntry, SwapOutcome, Watch } from './store/store.js';
+export type { StoreEntry, SwapOutcome, Watch, WatchUrgency } from './store/store.js';
 export { PeerServer } from './peers/peerServer.js';
 export { RpcPeerCaller } from './peers/peerCaller.js';
 export type { PeerAddress, PeerCaller, PeerMethod, PeerMethods } from './peers/peer.js';
@@ -171,6 +171,7 @@
 export { createBootstrapManager, readBootstrapAddresses } from './membership/bootstrapAddresses.js';
 export type { BootstrapManager, BootstrapManagerOptions } from './membership/bootstrapAddresses.js';
 export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './store/storeKeys.js';
+export { StorePacing } from './store/storePacing.js';
 export { HttpCallTransport, defaultConnectionBounds } from './http/httpCallTransport.js';
 export type { HttpCallTransportOptions } from './http/httpCallTransport.js';
 export type { ConnectionBounds, ConnectionCounts } from './http/endpointConnections.js';
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -115,6 +115,9 @@
       const refusal = response.code === ResultCode.notRunTargetRefused ? 1 : 0;
       view.refusalShare += NEWEST_REFUSAL_WEIGHT * (refusal - view.refusalShare);
     }
+    if (response.code !== ResultCode.notRunDraining) {
+      this.options.directory.recordContact(target.key, response.incarnation);
+    }
     if (response.incarnation !== '' && response.incarnation !== target.record.incarnation) {
       view.reportedIncarnation = response.incarnation;
       view.replacedIncarnation = target.record.incarnation;
--- a/packages/core/src/store/store.ts
+++ b/packages/core/src/store/store.ts
@@ -16,6 +16,9 @@
   current: StoreEntry | undefined;
 }
 
+/** Whether a watch reports a change at once, or some seconds later to save requests. */
+export type WatchUrgency = 'prompt' | 'relaxed';
+
 /** A running watch. */
 export interface Watch {
   close(): void;
@@ -52,9 +55,14 @@
 
   /**
    * Calls `listener` with each present entry of `prefix`, then with each change, until closed; a
-   * deleted key has modRevision 0. An entry may be delivered twice. Reconnects automatically.
+   * deleted key has modRevision 0. An entry may be delivered twice. Reconnects automatically. A store
+   * may report the changes of a `relaxed` watch some seconds later, and only the last of several.
    */
-  abstract watch(prefix: string, listener: (entry: StoreEntry) => void): Watch;
+  abstract watch(
+    prefix: string,
+    listener: (entry: StoreEntry) => void,
+    urgency?: WatchUrgency,
+  ): Watch;
 
   /** Closes all connections. */
   abstract close(): Promise<void>;
--- a/packages/daemon/src/fleetPlatform.ts
+++ b/packages/daemon/src/fleetPlatform.ts
@@ -6,11 +6,14 @@
   Result,
   RoutingConfiguration,
   Store,
+  StorePacing,
 } from '@shallotcroft/core';
 
 /** Platform adapter: the store, and the codecs of headers, heartbeats and configuration. */
 export interface FleetPlatform {
   store: Store;
+  /** Paces the requests to the store; the daemon reports the size of the fleet to it. */
+  pacing: StorePacing;
   headerCodec: HeaderCodec;
   /** Key of the operators' configuration in the store. */
   configurationKey: string;
--- a/packages/daemon/src/fleetSync.ts
+++ b/packages/daemon/src/fleetSync.ts
@@ -8,10 +8,10 @@
   watch(): Watch[];
   /** Publishes the record of the local target after a change. */
   announce(): void;
-  /** Requests records and the configuration from a daemon that has a newer configuration. */
+  /** Requests the configuration from a daemon that has a newer one. */
   pullFromPeer(address: string, port: number): void;
-  /** Divides the spare retries of the fleet by the number of known daemons. */
-  shareSpareRetries(): void;
+  /** Applies the number of known daemons: divides the spare retries and paces store requests. */
+  applyFleetSize(): void;
   /** Keeps the target record of this daemon in the store until the signal is aborted. */
   runAnnouncer(signal: AbortSignal): Promise<void>;
   /** Exchanges records with other daemons while the store is unreachable, until aborted. */
@@ -53,7 +53,16 @@
     };
   }
 
-  const announcer = new TargetAnnouncer({ key: ownKey, store, clock, logger, record: ownRecord });
+  const isStoreReachable = (): boolean => state.isStoreReachable;
+  const announcer = new TargetAnnouncer({
+    key: ownKey,
+    store,
+    clock,
+    logger,
+    pacing: platform.pacing,
+    isStoreReachable,
+    record: ownRecord,
+  });
   const exchange = new PeerExchange({
     clock,
     random,
@@ -63,13 +72,15 @@
     directory,
     routing,
     ownKey,
+    dataCentre: settings.dataCentre,
     ownRecord,
-    isStoreReachable: () => state.isStoreReachable,
+    isStoreReachable,
   });
 
-  function shareSpareRetries(): void {
-    const daemonCount = Math.max(1, directory.all().length);
+  function applyFleetSize(): void {
+    const daemonCount = Math.max(1, directory.size);
     retryBudget.setSpare(state.spareRetries / daemonCount);
+    platform.pacing.setFleetSize(daemonCount);
   }
 
   function applyConfigurationEntry(entry: StoreEntry): void {
@@ -80,10 +91,11 @@
   }
 
   function applyTargetEntry(entry: StoreEntry): void {
-    if (entry.modRevision > 0) directory.updateFromStore(entry.key, entry.value);
-    else if (entry.key === ownKey) announcer.republishDeleted();
+    if (entry.modRevision > 0) {
+      directory.updateFromStore(entry.key, entry.value, entry.modRevision);
+    } else if (entry.key === ownKey) announcer.republishDeleted();
     else directory.remove(entry.key);
-    shareSpareRetries();
+    applyFleetSize();
   }
 
   return {
@@ -95,7 +107,7 @@
       });
       return [
         store.watch(platform.configurationKey, applyConfigurationEntry),
-        store.watch(TARGET_KEY_PREFIX, applyTargetEntry),
+        store.watch(TARGET_KEY_PREFIX, applyTargetEntry, 'relaxed'),
       ];
     },
     announce: () => {
@@ -108,8 +120,11 @@
       // Each request carries the newer version until it is loaded here; one pull is enough.
       if (isPulling) return;
       isPulling = true;
-      exchange
-        .exchangeWith(address, port)
+      // Without the store this daemon may not know other targets either.
+      const pull = state.isStoreReachable
+        ? exchange.requestConfiguration(address, port)
+        : exchange.exchangeWith(address, port);
+      pull
         .catch((error: unknown) => {
           logger.log('warn', 'exchange with a peer failed', { error: (error as Error).message });
         })
@@ -117,7 +132,7 @@
           isPulling = false;
         });
     },
-    shareSpareRetries,
+    applyFleetSize,
     runAnnouncer: (signal) => announcer.run(signal),
     runExchange: (signal) => exchange.run(signal),
   };
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -44,7 +44,7 @@
 ): Promise<void> {
   while (!signal.aborted) {
     await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
-    fleetSync.shareSpareRetries();
+    fleetSync.applyFleetSize();
     placement.sweep();
     levels.sweep();
     hopClient.closeIdleConnections();
@@ -126,7 +126,7 @@
       const { ratio, spare } = effectiveRetryBounds(settings.retry);
       components.retryBudget.setRatio(ratio);
       state.spareRetries = spare;
-      fleetSync.shareSpareRetries();
+      fleetSync.applyFleetSize();
     },
     stop: () => {
       stopped ??= stopAll();
