fix(core): responses that never end no longer fill the memory

The responses in flight share 64 MB beyond the first 64 kB of each; the one that asks for more ends with 2004 and its connection is closed. An endless head was already ended by the HTTP library; a spec now shows it.

--- /dev/null
+++ b/packages/core/src/__tests__/endlessResponses.spec.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { test } from 'node:test';
+import type { Result } from 'ts-results-es';
+import type { CallResponse } from '../calls/call.js';
+import { HttpCallTransport } from '../http/httpCallTransport.js';
+import type { Failure } from '../runtime/failure.js';
+import { systemClock } from '../runtime/clock.js';
+import { ResultCode } from '../runtime/resultCode.js';
+
+const MB = 1024 * 1024;
+const head = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n';
+const filler = Buffer.alloc(256 * 1024, 'x');
+
+/** Writes `start` and then `filler` again and again until the peer closes the connection. */
+function writeForever(socket: Socket, start: string): void {
+  socket.write(start);
+  const fill = (): void => {
+    while (!socket.destroyed && socket.write(filler));
+  };
+  socket.on('drain', fill);
+  fill();
+}
+
+/** Sends `count` requests at once to a server whose responses begin with `start` and never end. */
+async function endlessResponses(
+  start: string,
+  count: number,
+): Promise<{ sent: Result<CallResponse, Failure>[]; peakBytes: number; openSockets: number }> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => writeForever(socket, start));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const transport = new HttpCallTransport({
+    clock: systemClock,
+    incarnation: 'test',
+    requiresEcho: true,
+    idHeader: 'request-id',
+    allowsCloseDelimited: true,
+  });
+  const { port } = server.address() as AddressInfo;
+  const baseBytes = process.memoryUsage().arrayBuffers;
+  let peakBytes = 0;
+  const sampling = setInterval(() => {
+    peakBytes = Math.max(peakBytes, process.memoryUsage().arrayBuffers - baseBytes);
+  }, 5);
+  const sent = await Promise.all(
+    Array.from({ length: count }, () =>
+      transport.send(
+        { address: '127.0.0.1', port },
+        '/',
+        { call: 'test', method: 'GET', id: 'a', headers: {}, body: Buffer.alloc(0) },
+        { timeoutMs: 20_000, maxResponseBytes: 64 * MB, signal: new AbortController().signal },
+      ),
+    ),
+  );
+  clearInterval(sampling);
+  while (sockets.size > 0) await new Promise(setImmediate);
+  await transport.close();
+  server.close();
+  return { sent, peakBytes, openSockets: sockets.size };
+}
+
+test('endless bodies from many responses at once are ended before they fill the memory', async () => {
+  const { sent, peakBytes } = await endlessResponses(`${head}\r\n`, 8);
+  sent.forEach((result) => {
+    assert.equal(result.unwrapErr().code, ResultCode.unknownAnswerTooLarge);
+  });
+  assert.ok(peakBytes < 160 * MB, `${Math.round(peakBytes / MB)} MB were held`);
+});
+
+test('an endless chunked body is ended', async () => {
+  const chunk = `${head}Transfer-Encoding: chunked\r\n\r\nffffffff\r\n`;
+  const { sent } = await endlessResponses(chunk, 2);
+  sent.forEach((result) => {
+    assert.equal(result.unwrapErr().code, ResultCode.unknownAnswerTooLarge);
+  });
+});
+
+test('an endless head is ended, and its request has an unknown outcome', async () => {
+  const { sent } = await endlessResponses(`${head}X-Filler: `, 2);
+  sent.forEach((result) => {
+    assert.equal(result.unwrapErr().code, ResultCode.unknownConnectionLost);
+  });
+});
--- a/packages/core/src/http/httpCallTransport.ts
+++ b/packages/core/src/http/httpCallTransport.ts
@@ -3,6 +3,7 @@
 import type { CallResponse, CallRequest, Endpoint, SendBounds } from '../calls/call.js';
 import { CallHeader } from '../calls/callHeaders.js';
 import type { Clock } from '../runtime/clock.js';
+import { ByteBudget } from './byteBudget.js';
 import { EndpointConnections } from './endpointConnections.js';
 import type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
 import type { Failure } from '../runtime/failure.js';
@@ -11,6 +12,11 @@
 import { ResultCode } from '../runtime/resultCode.js';
 
 const SWEEP_INTERVAL_MS = 1000;
+/**
+ * Bytes that the responses in flight may hold together; well below the memory of a small host, which
+ * a target that never ends its responses would otherwise fill.
+ */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 /** Options of `HttpCallTransport`. */
 export interface HttpCallTransportOptions {
@@ -78,6 +84,7 @@
       requiresEcho: settings.requiresEcho ?? false,
       idHeader: settings.idHeader ?? CallHeader.request,
       allowsCloseDelimited: settings.allowsCloseDelimited ?? false,
+      byteBudget: new ByteBudget(MAX_BUFFERED_BYTES),
     };
   }
 
--- a/packages/core/src/http/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -4,6 +4,8 @@
 import type { Dispatcher } from 'undici';
 import type { CallResponse, CallRequest, SendBounds } from '../calls/call.js';
 import type { Clock, Timer } from '../runtime/clock.js';
+import type { ByteBudget } from './byteBudget.js';
+import type { ByteShare } from './byteShare.js';
 import { endToEndHeaders } from './endToEndHeaders.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
@@ -28,6 +30,8 @@
   idHeader: string;
   /** Whether a response without a length may be delimited by a clean close of its connection. */
   allowsCloseDelimited: boolean;
+  /** Bounds the bytes that all exchanges hold together. */
+  byteBudget: ByteBudget;
 }
 
 /** State of a connection after an exchange. */
@@ -65,6 +69,8 @@
 
   private receivedBytes = 0;
 
+  private readonly byteShare: ByteShare;
+
   private chunks: Buffer[] = [];
 
   private timer: Timer;
@@ -90,6 +96,7 @@
     private readonly resolve: (result: Result<CallResponse, Failure>) => void,
   ) {
     const { clock } = settings;
+    this.byteShare = settings.byteBudget.openShare();
     this.deadlineAt = clock.now() + bounds.timeoutMs;
     this.idleTimeoutMs = bounds.idleTimeoutMs ?? settings.idleTimeoutMs;
     const firstCheckMs = Math.min(bounds.timeoutMs, this.idleTimeoutMs ?? Infinity);
@@ -158,6 +165,7 @@
     if (this.hasEnded) return;
     this.receivedBytes += chunk.length;
     if (this.receivedBytes > this.bounds.maxResponseBytes) this.failTooLarge();
+    else if (!this.byteShare.add(chunk.length)) this.failOverBudget();
     else this.chunks.push(chunk);
   }
 
@@ -198,6 +206,7 @@
     this.timer.cancel();
     this.bounds.signal.removeEventListener('abort', this.cancel);
     this.chunks = [];
+    this.byteShare.close();
     this.resolve(result);
     this.onEnd?.(state);
   }
@@ -231,6 +240,11 @@
     this.fail(ResultCode.unknownAnswerTooLarge, message, 'broken');
   }
 
+  private failOverBudget(): void {
+    const message = `all responses together hold too many bytes; this one has ${this.receivedBytes}`;
+    this.fail(ResultCode.unknownAnswerTooLarge, message, 'broken');
+  }
+
   private failTruncated(reason: string): void {
     this.fail(ResultCode.unknownAnswerTruncated, `incomplete response: ${reason}`, 'broken');
   }
