fix(daemon): an unexpected error is logged and does not end the process; lost hosts are tried less

The daemon had no handler for errors that nothing catches: one exception in a timer or a socket event ended the process and every request in it.

A host that stays lost was tried once a second by each gateway, which costs the request 300 ms, and records now stay for 10 s after a host is gone: the wait doubles up to 4 s. A draining target was tried every 400 ms until the record came; it is now avoided until its record changes.

--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -50,7 +50,7 @@
       .filter(({ key }) => keys.includes(key))
       .forEach((target) => placement.recordResponse(target, responseOf(load, code)));
   };
-  return { clock, placement, choose, report };
+  return { clock, directory, placement, choose, report };
 }
 
 function chosenOf(choose: () => KnownTarget | undefined): string[] {
@@ -93,6 +93,35 @@
   assert.deepEqual(chosenOf(choose), ['local-1', 'local-2']);
 });
 
+test('a host that stays lost is tried less and less often, and as before once it responds', async () => {
+  const { clock, placement, choose, report } = createPlacement();
+  const lost = choose(['local-2', 'remote-1', 'remote-2']) as KnownTarget;
+  let attempts = 0;
+  for (let elapsed = 0; elapsed < 10_000; elapsed += 100) {
+    if (chosenOf(choose).includes('local-1')) {
+      attempts += 1;
+      placement.recordUnreachable(lost);
+    }
+    await clock.advance(100);
+  }
+  assert.ok(attempts <= 5, `${attempts} attempts in 10 s`);
+  await clock.advance(4000);
+  report(['local-1'], idle);
+  placement.recordUnreachable(lost);
+  await clock.advance(1100);
+  assert.ok(chosenOf(choose).includes('local-1'));
+});
+
+test('a draining target is avoided until its record changes', async () => {
+  const { clock, directory, placement, choose } = createPlacement();
+  const draining = choose(['local-2', 'remote-1', 'remote-2']) as KnownTarget;
+  placement.recordDraining(draining);
+  await clock.advance(1000);
+  assert.deepEqual(chosenOf(choose), ['local-2']);
+  directory.update('local-1', { ...draining.record, startedAt: 2, version: 2 });
+  assert.deepEqual(chosenOf(choose), ['local-1', 'local-2']);
+});
+
 test('a target whose daemon is unresponsive is avoided while others are available', async () => {
   const { clock, placement, choose } = createPlacement();
   placement.recordUnresponsive('10.0.0.0', 1);
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../runtime/clock.js';
 import type { KnownTarget, TargetDirectory } from '../directory/targetDirectory.js';
+import type { TargetRecord } from '../directory/targetRecord.js';
 import type { HopResponse, TargetLoad } from '../forwarding/hopMessages.js';
 import type { RandomSource } from '../runtime/random.js';
 import { ResultCode } from '../runtime/resultCode.js';
@@ -12,15 +13,19 @@
 const COLD_START_COST_MS = 20;
 /** Age above which a reported load is ignored, in milliseconds. */
 const MAX_LOAD_AGE_MS = 1000;
-/** Time for which a target is avoided after a failed connection, in milliseconds. */
+/**
+ * Time for which a target is avoided after a failed connection, in milliseconds. It doubles with each
+ * further failure, as each attempt delays a request and a lost host stays in the directory for long.
+ */
 const AVOID_UNREACHABLE_MS = 1000;
+const MAX_AVOID_UNREACHABLE_MS = 4000;
 /** Time for which a target is avoided after its daemon was unresponsive, in milliseconds. */
 const AVOID_UNRESPONSIVE_MS = 500;
 /**
- * Time for which a target is avoided after its daemon reported that it is draining or unknown there,
- * in milliseconds.
+ * Time for which a target is avoided after its daemon reported that it is draining, in milliseconds,
+ * unless its record changes before.
  */
-const AVOID_DRAINING_MS = 400;
+const AVOID_DRAINING_MS = 2500;
 
 /** Cost of a target that refuses all requests, in milliseconds of expected wait. */
 const REFUSAL_COST_MS = 200;
@@ -43,6 +48,10 @@
   loadReport: LoadReport | undefined;
   /** The target is avoided until then, on the monotonic clock, in milliseconds. */
   avoidUntil: number;
+  /** Failed connections to the target's daemon since its last response. */
+  failedConnections: number;
+  /** The record that was known when the target was reported as draining. */
+  drainingRecord: TargetRecord | undefined;
   /** Share of the recent responses that were refusals by the target itself. */
   refusalShare: number;
   /** Incarnation of the target's daemon in its responses, if it differs from the directory's. */
@@ -79,12 +88,21 @@
     tried: ReadonlySet<string>,
     isShedding: (key: string) => boolean,
   ): KnownTarget | undefined {
-    const ready = this.options.directory
-      .targetsOf(service)
-      .filter(({ key, record }) => record.state === 'ready' && !tried.has(key) && !isShedding(key));
     const now = this.options.clock.now();
-    const available = ready.filter(({ key }) => this.viewOf(key).avoidUntil <= now);
-    return this.cheapest(available.length > 0 ? available : ready);
+    const available: KnownTarget[] = [];
+    const avoided: KnownTarget[] = [];
+    this.options.directory.targetsOf(service).forEach((target) => {
+      const { key, record } = target;
+      if (record.state !== 'ready' || tried.has(key) || isShedding(key)) return;
+      (this.isAvoided(target, now) ? avoided : available).push(target);
+    });
+    return this.cheapest(available.length > 0 ? available : avoided);
+  }
+
+  private isAvoided({ key, record }: KnownTarget, now: number): boolean {
+    const view = this.views.get(key);
+    if (!view || view.avoidUntil <= now) return false;
+    return view.drainingRecord === undefined || view.drainingRecord === record;
   }
 
   /** Incarnation of the target's daemon, from its responses if the directory's is out of date. */
@@ -110,6 +128,8 @@
   recordResponse(target: KnownTarget, response: HopResponse): void {
     const view = this.viewOf(target.key);
     const now = this.options.clock.now();
+    view.failedConnections = 0;
+    view.drainingRecord = undefined;
     view.loadReport = { load: response.load, receivedAt: now, outstanding: view.outstanding };
     if (response.reached) {
       const refusal = response.code === ResultCode.notRunTargetRefused ? 1 : 0;
@@ -126,12 +146,18 @@
 
   /** Avoids a target for a time: it is draining, or its daemon does not know it. */
   recordDraining(target: KnownTarget): void {
-    this.viewOf(target.key).avoidUntil = this.options.clock.now() + AVOID_DRAINING_MS;
+    const view = this.viewOf(target.key);
+    view.avoidUntil = this.options.clock.now() + AVOID_DRAINING_MS;
+    view.drainingRecord = target.record;
   }
 
   /** Avoids a target for a time: its daemon could not be reached. */
   recordUnreachable(target: KnownTarget): void {
-    this.viewOf(target.key).avoidUntil = this.options.clock.now() + AVOID_UNREACHABLE_MS;
+    const view = this.viewOf(target.key);
+    const avoidMs = AVOID_UNREACHABLE_MS * 2 ** view.failedConnections;
+    view.failedConnections += 1;
+    view.avoidUntil = this.options.clock.now() + Math.min(MAX_AVOID_UNREACHABLE_MS, avoidMs);
+    view.drainingRecord = undefined;
   }
 
   /**
@@ -144,6 +170,7 @@
       if (record.address !== address || record.callPort !== callPort) return;
       const view = this.viewOf(key);
       view.avoidUntil = Math.max(view.avoidUntil, until);
+      view.drainingRecord = undefined;
     });
   }
 
@@ -156,8 +183,11 @@
   }
 
   private cheapest(targets: KnownTarget[]): KnownTarget | undefined {
-    const local = targets.filter(({ record }) => record.dataCentre === this.options.dataCentre);
-    const remote = targets.filter(({ record }) => record.dataCentre !== this.options.dataCentre);
+    const local: KnownTarget[] = [];
+    const remote: KnownTarget[] = [];
+    targets.forEach((target) => {
+      (target.record.dataCentre === this.options.dataCentre ? local : remote).push(target);
+    });
     const candidates = [...this.sample(local, 2), ...this.sample(remote, 2)];
     let best: KnownTarget | undefined;
     let bestCost = Infinity;
@@ -210,6 +240,8 @@
         outstanding: 0,
         loadReport: undefined,
         avoidUntil: 0,
+        failedConnections: 0,
+        drainingRecord: undefined,
         refusalShare: 0,
         reportedIncarnation: undefined,
         replacedIncarnation: undefined,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export { parseForwardingSettings } from './forwardingSettings.js';
 export type { ForwardingSettings } from './forwardingSettings.js';
 export type { FleetPlatform } from './fleetPlatform.js';
+export { keepRunningOnErrors } from './unexpectedErrors.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -13,6 +13,7 @@
 } from '@shallotcroft/core';
 import type { Failure, Result, Settings, Store } from '@shallotcroft/core';
 import { startDaemon } from './daemon.js';
+import { keepRunningOnErrors } from './unexpectedErrors.js';
 import type { Daemon } from './daemon.js';
 
 const VERSION = '0.1.0';
@@ -58,10 +59,12 @@
   const read = readSettingsFile(settingsFile);
   if (read.isErr()) fail(EXIT_SETTINGS, `${read.error.code} ${read.error.message}`);
   const settings = read.value;
+  const logger = createLogger(settings.logLevel, { host: settings.host });
+  keepRunningOnErrors(logger);
   const store = openStore(settings);
   const daemon = await startDaemon({
     settings,
-    logger: createLogger(settings.logLevel, { host: settings.host }),
+    logger,
     clock: systemClock,
     random: systemRandom,
     ...(store ? { store } : {}),
