fix(core): what a paused sender voids, and what a restarted daemon remembers of its target

A process that was paused: the daemon beside a target forgot an attempt 2 s after its deadline and then answered 'voided' for one that had run. A gateway that was suspended while its connection was lost voids late, and answered 503 'not run', or sent the request once more. Attempts are kept for 60 s, and a sender does not void what is older than 30 s by either of its clocks.

A restart: a target that had deregistered, or was draining, became ready again for a restarted daemon when one of its heartbeats came late. The daemon now takes over what the record of its former process says; the record tells a target that left from a daemon that stops.

--- a/packages/core/src/__tests__/targetAnnouncer.spec.ts
+++ b/packages/core/src/__tests__/targetAnnouncer.spec.ts
@@ -15,6 +15,7 @@
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
   const known = { record: { ...targetRecord }, isStoreReachable: true };
+  const foreign: string[] = [];
   const announcer = new TargetAnnouncer({
     key: KEY,
     store,
@@ -22,6 +23,7 @@
     logger: silentLogger,
     pacing: new StorePacing(createSeededRandom(1)),
     isStoreReachable: () => known.isStoreReachable,
+    onForeignRecord: (value) => foreign.push(value),
     record: () => known.record,
   });
   const stop = new AbortController();
@@ -35,13 +37,15 @@
     const value = store.database.get(KEY)?.value;
     return value === undefined ? undefined : (JSON.parse(value) as TargetRecord);
   };
-  return { clock, store, known, announcer, stopped, published };
+  return { clock, store, known, foreign, announcer, stopped, published };
 }
 
 test('a daemon that has restarted replaces the record of its former life', async () => {
-  const { clock, store, published, stopped } = createAnnouncer();
-  store.database.swap(KEY, 0, JSON.stringify({ ...targetRecord, incarnation: 'former' }));
+  const { clock, store, foreign, published, stopped } = createAnnouncer();
+  const former = JSON.stringify({ ...targetRecord, incarnation: 'former' });
+  store.database.swap(KEY, 0, former);
   await clock.advance(1000);
+  assert.deepEqual(foreign, [former]);
   assert.equal(published()?.incarnation, targetRecord.incarnation);
   await stopped();
 });
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -176,3 +176,22 @@
   assert.equal(target.receive({ ...heartbeat, startedAt: restartedAt, sequence: 1 }), true);
   assert.equal(target.isReady(), true);
 });
+
+test('after a restart of its daemon a target that had left is not ready by a delayed heartbeat', () => {
+  const target = createLocalTarget();
+  target.receive({ ...heartbeat, sequence: 4 });
+  target.restore({ targetId: 'i-1', startedAt: 100, state: 'gone' });
+  assert.equal(target.isReady(), false);
+  assert.equal(target.receive({ ...heartbeat, sequence: 5 }), false);
+  assert.equal(target.isReady(), false);
+  assert.equal(target.receive({ ...heartbeat, startedAt: 300, sequence: 1 }), true);
+  assert.equal(target.isReady(), true);
+});
+
+test('after a restart of its daemon a draining target stays draining', () => {
+  const target = createLocalTarget();
+  target.restore({ targetId: 'i-1', startedAt: 100, state: 'draining' });
+  target.receive({ ...heartbeat, sequence: 3 });
+  assert.equal(target.current()?.state, 'draining');
+  assert.equal(target.isReady(), false);
+});
--- a/packages/core/src/atMostOnce/homeLeaseExchange.ts
+++ b/packages/core/src/atMostOnce/homeLeaseExchange.ts
@@ -1,5 +1,5 @@
-import { readClocks } from './atMostOnceTiming.js';
-import type { ClockReading } from './atMostOnceTiming.js';
+import { readClocks } from '../runtime/clockReading.js';
+import type { ClockReading } from '../runtime/clockReading.js';
 import { AtMostOnceMethod } from './homeLease.js';
 import type { HomeLeaseResponse, HomeLeaseRequest, ShardRevision } from './homeLease.js';
 import type { ShardContext } from './shardContext.js';
--- a/packages/core/src/atMostOnce/shardHome.ts
+++ b/packages/core/src/atMostOnce/shardHome.ts
@@ -4,8 +4,9 @@
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import { timeOfKey } from '../calls/idempotencyKey.js';
-import { elapsedSince } from './atMostOnceTiming.js';
-import type { ClockReading, AtMostOnceTiming } from './atMostOnceTiming.js';
+import { elapsedSince } from '../runtime/clockReading.js';
+import type { AtMostOnceTiming } from './atMostOnceTiming.js';
+import type { ClockReading } from '../runtime/clockReading.js';
 import { ResultCode, isNotRun } from '../runtime/resultCode.js';
 import type { ShardState } from './shardRecord.js';
 
--- a/packages/core/src/atMostOnce/shardManager.ts
+++ b/packages/core/src/atMostOnce/shardManager.ts
@@ -1,7 +1,7 @@
 import { ShardPlacement } from './shardPlacement.js';
 import { stagedTableSchema } from './handover.js';
-import { elapsedSince, readClocks } from './atMostOnceTiming.js';
-import type { ClockReading } from './atMostOnceTiming.js';
+import { elapsedSince, readClocks } from '../runtime/clockReading.js';
+import type { ClockReading } from '../runtime/clockReading.js';
 import { AtMostOnceMethod, homeLeaseRequestSchema, shardRevisionSchema } from './homeLease.js';
 import { HomeLeaseExchange } from './homeLeaseExchange.js';
 import { RecordRefresh } from './recordRefresh.js';
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -23,6 +23,14 @@
   warmAt: number;
 }
 
+/** What a former process of this daemon has acknowledged to a target that was leaving. */
+export interface AcknowledgedLeaving {
+  targetId: string;
+  /** Unix time of the target's start, in milliseconds. */
+  startedAt: number;
+  state: 'draining' | 'gone';
+}
+
 /** Time without a heartbeat after which the target counts as crashed, in milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 20_000;
 
@@ -35,6 +43,9 @@
   /** Unix time at which unknown targets deregistered, in milliseconds, by target id. */
   private readonly unknownDepartures = new Map<string, number>();
 
+  /** Leaving that a former process of this daemon has acknowledged. */
+  private acknowledged: AcknowledgedLeaving | undefined;
+
   private readonly listeners: (() => void)[] = [];
 
   constructor(
@@ -60,6 +71,35 @@
     this.listeners.push(listener);
   }
 
+  /**
+   * Restores what a former process of this daemon has acknowledged: a heartbeat from before, which
+   * arrives late, must not make the target ready again.
+   */
+  restore(acknowledged: AcknowledgedLeaving): void {
+    this.acknowledged = acknowledged;
+    const { targetId, startedAt, state } = acknowledged;
+    this.logger.log('info', 'leaving of the local target restored', {
+      target: targetId,
+      startedAt,
+      state,
+    });
+    const known = this.state;
+    if (!known || !this.isAcknowledged(known) || known.state !== 'ready') return;
+    this.state = { ...known, state };
+    this.notify('ready');
+  }
+
+  private isAcknowledged({
+    targetId,
+    startedAt,
+  }: {
+    targetId: string;
+    startedAt: number;
+  }): boolean {
+    const { acknowledged } = this;
+    return acknowledged?.targetId === targetId && startedAt <= acknowledged.startedAt;
+  }
+
   /** Processes a heartbeat; returns false if it is stale. */
   receive(heartbeat: TargetHeartbeat): boolean {
     if (this.isStale(heartbeat)) {
@@ -78,7 +118,9 @@
       before?.targetId === heartbeat.targetId && before.startedAt === heartbeat.startedAt;
     const warmAt = isSameStart ? before.warmAt : this.clock.date().getTime() + coldRemainingMs;
     // Draining is final: the target becomes ready again only after a restart.
-    const state = isSameStart && before.state !== 'ready' ? before.state : heartbeat.state;
+    const isLeaving = this.isAcknowledged(heartbeat);
+    const knownState = isSameStart && before.state !== 'ready' ? before.state : heartbeat.state;
+    const state = isLeaving && knownState === 'ready' ? 'draining' : knownState;
     this.state = { ...rest, state, warmAt };
     if (!isSameStart || before.state !== state) this.notify(before?.state);
     return true;
@@ -101,6 +143,9 @@
     // A restarted daemon may receive the deregistration of a target before a delayed heartbeat.
     const leftAt = this.unknownDepartures.get(targetId);
     if (leftAt !== undefined && startedAt <= leftAt) return true;
+    if (this.acknowledged?.state === 'gone' && this.isAcknowledged({ targetId, startedAt })) {
+      return true;
+    }
     const known = this.state;
     if (!known) return false;
     if (startedAt !== known.startedAt) return startedAt < known.startedAt;
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -24,6 +24,8 @@
   pacing: StorePacing;
   /** Whether the store is reachable; while it is not, only the watches probe it. */
   isStoreReachable: () => boolean;
+  /** Called with the value of a record that another process has written under the key. */
+  onForeignRecord: (value: string) => void;
   /** The record to publish; undefined while no target is known. */
   record: () => TargetRecord | undefined;
 }
@@ -129,7 +131,11 @@
       return this.logFailure('record write failed', swapped.error);
     }
     this.modRevision = swapped.value.current?.modRevision ?? 0;
-    if (!swapped.value.swapped) return false;
+    const { current } = swapped.value;
+    if (!swapped.value.swapped) {
+      if (current) this.options.onForeignRecord(current.value);
+      return false;
+    }
     this.publishedValue = value;
     logger.log('info', 'record written', { key, revision: this.modRevision });
     return true;
--- a/packages/core/src/directory/targetRecord.ts
+++ b/packages/core/src/directory/targetRecord.ts
@@ -9,6 +9,8 @@
   dataCentre: z.string(),
   slots: z.int().min(1),
   state: z.enum(['ready', 'draining', 'stopping']),
+  /** True when the target has deregistered; otherwise `stopping` is the state of its daemon. */
+  hasTargetLeft: z.boolean().optional(),
   /** Unix time at which the target's warm-up ends, in milliseconds. */
   warmAt: z.number(),
   /** IP address of the daemon beside the target. */
--- a/packages/core/src/forwarding/attemptRegistry.ts
+++ b/packages/core/src/forwarding/attemptRegistry.ts
@@ -11,10 +11,11 @@
   expiresAt: number;
 }
 
-/** Time that an attempt is kept after its deadline, in milliseconds. */
-const RETENTION_AFTER_DEADLINE_MS = 2000;
-/** Time that a voided attempt is kept, in milliseconds; longer than any caller waits. */
-const VOIDED_RETENTION_MS = 60_000;
+/**
+ * Time that an attempt is kept, in milliseconds; longer than any caller waits, and than the age up to
+ * which senders void attempts. An attempt that is not known counts as not arrived.
+ */
+const RETENTION_MS = 60_000;
 const SWEEP_INTERVAL_MS = 1000;
 
 /**
@@ -34,7 +35,7 @@
   register(id: string, deadlineAt: number): boolean {
     this.removeExpired();
     if (this.attempts.has(id)) return false;
-    const expiresAt = deadlineAt + RETENTION_AFTER_DEADLINE_MS;
+    const expiresAt = Math.max(deadlineAt, this.clock.now() + RETENTION_MS);
     this.attempts.set(id, { state: 'waiting', expiresAt });
     return true;
   }
@@ -52,7 +53,7 @@
     this.removeExpired();
     const attempt = this.attempts.get(id);
     if (attempt?.state === 'begun') return 'begun';
-    const expiresAt = this.clock.now() + VOIDED_RETENTION_MS;
+    const expiresAt = this.clock.now() + RETENTION_MS;
     this.attempts.set(id, { state: 'voided', expiresAt });
     return 'voided';
   }
--- a/packages/core/src/forwarding/hopSender.ts
+++ b/packages/core/src/forwarding/hopSender.ts
@@ -1,5 +1,8 @@
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import type { Clock } from '../runtime/clock.js';
+import { elapsedSince } from '../runtime/clockReading.js';
+import type { ClockReading } from '../runtime/clockReading.js';
 import type { Failure } from '../runtime/failure.js';
 import type { PeerCaller } from '../peers/peer.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
@@ -13,6 +16,11 @@
 
 /** Timeout of `attempt.void`, in milliseconds. */
 const VOID_TIMEOUT_MS = 400;
+/**
+ * Age of an attempt above which it is not voided, in milliseconds: a sender that was suspended does
+ * not know whether the other daemon still remembers the attempt.
+ */
+const MAX_VOID_AGE_MS = 30_000;
 
 /** Parameters of `attempt.void`. */
 export interface VoidParams {
@@ -30,14 +38,15 @@
     signal: AbortSignal,
   ): Promise<Result<HopResponse, Failure>>;
   /**
-   * Asks the daemon to void the attempt `request`. Returns `unknown` when the daemon does not
-   * respond or has restarted since.
+   * Asks the daemon to void the attempt `request`, sent at `sentAt`. Returns `unknown` when the
+   * daemon does not respond or has restarted since, or when the attempt is too old.
    */
-  void(target: KnownTarget, request: HopRequest): Promise<VoidOutcome>;
+  void(target: KnownTarget, request: HopRequest, sentAt: ClockReading): Promise<VoidOutcome>;
 }
 
 /** Options of `createHopSender`. */
 export interface HopSenderOptions {
+  clock: Clock;
   client: HopClient;
   peers: PeerCaller;
   /** Guard of this daemon's own target; requests for that target need no connection. */
@@ -56,7 +65,8 @@
       const { address, callPort } = target.record;
       return options.client.send({ address, port: callPort }, request, request.remainingMs, signal);
     },
-    void: async (target, request) => {
+    void: async (target, request, sentAt) => {
+      if (elapsedSince(options.clock, sentAt) > MAX_VOID_AGE_MS) return 'unknown';
       const { address, peerPort } = target.record;
       const params: VoidParams = {
         attemptId: request.attemptId,
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -1,6 +1,8 @@
 import type { CallResponse } from '../calls/call.js';
 import type { Importance } from '../configuration/configuration.js';
 import type { Clock } from '../runtime/clock.js';
+import { readClocks } from '../runtime/clockReading.js';
+import type { ClockReading } from '../runtime/clockReading.js';
 import type { Counters } from '../observability/counters.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
 import { createFailure } from '../runtime/failure.js';
@@ -139,9 +141,12 @@
     progress: RequestProgress,
     target: KnownTarget,
     hopRequest: HopRequest,
+    sentAt: ClockReading,
     failure: Failure,
   ): Promise<AttemptResult> {
-    const outcome = progress.signal.aborted ? 'unknown' : await sender.void(target, hopRequest);
+    const outcome = progress.signal.aborted
+      ? 'unknown'
+      : await sender.void(target, hopRequest, sentAt);
     logger.log('info', 'attempt lost', {
       request: progress.request.id,
       attempt: hopRequest.attemptId,
@@ -159,6 +164,7 @@
   async function attempt(progress: RequestProgress, target: KnownTarget): Promise<AttemptResult> {
     const remainingMs = Math.floor(progress.deadlineAt - clock.now());
     const hopRequest = hopRequestOf(progress, target, remainingMs);
+    const sentAt = readClocks(clock);
     placement.begin(target);
     const sent = await sender.send(target, hopRequest, progress.signal);
     placement.end(target);
@@ -181,7 +187,7 @@
     if (code === ResultCode.unknownTimeout) {
       return { code, message, reached: true, response: undefined };
     }
-    return resolveLostAttempt(progress, target, hopRequest, sent.error);
+    return resolveLostAttempt(progress, target, hopRequest, sentAt, sent.error);
   }
 
   /** Checks the route's attempt limit and takes a retry from the budget; false if none is left. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -207,8 +207,8 @@
 export type { AcceptedRevision } from './configuration/revisions.js';
 export { ShardManager } from './atMostOnce/shardManager.js';
 export type { ShardManagerOptions } from './atMostOnce/shardContext.js';
-export { readClocks } from './atMostOnce/atMostOnceTiming.js';
-export type { ClockReading } from './atMostOnce/atMostOnceTiming.js';
+export { readClocks } from './runtime/clockReading.js';
+export type { ClockReading } from './runtime/clockReading.js';
 export { reassignShard } from './atMostOnce/reassignShard.js';
 export type { Reassignment } from './atMostOnce/reassignShard.js';
 export { decodeConfiguration, encodeConfiguration } from './configuration/configurationValue.js';
@@ -229,6 +229,7 @@
 export { RoutingManager } from './routes/routingManager.js';
 export { TARGET_KEY_PREFIX, TargetDirectory } from './directory/targetDirectory.js';
 export type { KnownTarget } from './directory/targetDirectory.js';
+export { parseTargetRecord } from './directory/targetRecord.js';
 export type { TargetRecord } from './directory/targetRecord.js';
 export { LocalTarget } from './directory/localTarget.js';
 export type { LocalTargetState, TargetHeartbeat } from './directory/localTarget.js';
--- a/packages/daemon/src/fleetSync.ts
+++ b/packages/daemon/src/fleetSync.ts
@@ -1,4 +1,9 @@
-import { PeerExchange, TARGET_KEY_PREFIX, TargetAnnouncer } from '@shallotcroft/core';
+import {
+  PeerExchange,
+  TARGET_KEY_PREFIX,
+  TargetAnnouncer,
+  parseTargetRecord,
+} from '@shallotcroft/core';
 import type { StoreEntry, TargetRecord, Watch } from '@shallotcroft/core';
 import type { ForwardingContext, ForwardingOptions } from './forwardingContext.js';
 
@@ -45,6 +50,7 @@
       slots,
       warmAt,
       state: hasLeft ? 'stopping' : (local.state as TargetRecord['state']),
+      ...(local.state === 'gone' && { hasTargetLeft: true }),
       address: settings.address,
       callPort: settings.listen.callPort,
       peerPort: settings.listen.peerPort,
@@ -53,6 +59,17 @@
     };
   }
 
+  /** Takes over what the former process of this daemon has acknowledged to a leaving target. */
+  function restoreLeaving(value: string): void {
+    const former = parseTargetRecord(value);
+    if (!former || former.incarnation === incarnation) return;
+    const { targetId, startedAt } = former;
+    const leaving = former.hasTargetLeft ? 'gone' : former.state;
+    if (leaving === 'gone' || leaving === 'draining') {
+      target.restore({ targetId, startedAt, state: leaving });
+    }
+  }
+
   const isStoreReachable = (): boolean => state.isStoreReachable;
   const announcer = new TargetAnnouncer({
     key: ownKey,
@@ -61,6 +78,7 @@
     logger,
     pacing: platform.pacing,
     isStoreReachable,
+    onForeignRecord: restoreLeaving,
     record: ownRecord,
   });
   const exchange = new PeerExchange({
--- a/packages/daemon/src/forwardingComponents.ts
+++ b/packages/daemon/src/forwardingComponents.ts
@@ -55,7 +55,7 @@
     clock,
     random,
     logger,
-    sender: createHopSender({ client: hopClient, peers, guard, ownKey: state.ownKey }),
+    sender: createHopSender({ clock, client: hopClient, peers, guard, ownKey: state.ownKey }),
     localPeer: localHopPeer,
     isClosing: () => state.isClosing,
     onPeerVersion: (_version, { record }: KnownTarget) => {
