fix(core): a request is not begun when its cancellation has already arrived

The request was sent to the target, and cut 2 ms later when the next message was read: it reached the target 1.2 s after its client had left.

Requests start when all that has arrived in a turn of the event loop is read. Spec: a request and its cancellation in one write; it failed before.

--- a/packages/core/src/__tests__/hopConnection.spec.ts
+++ b/packages/core/src/__tests__/hopConnection.spec.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import { systemClock } from '../runtime/clock.js';
 import { HopClient } from '../forwarding/hopClient.js';
+import { encodeHello, encodeRequest } from '../forwarding/hopMessages.js';
 import type { HopResponse } from '../forwarding/hopMessages.js';
 import { HopServer } from '../forwarding/hopServer.js';
 import type { HopHandler } from '../forwarding/hopServer.js';
+import { MessageStream } from '../forwarding/messageStream.js';
 import { silentLogger } from '../observability/logger.js';
 import { ResultCode } from '../runtime/resultCode.js';
 import { targetPeer, hopRequest, originPeer } from './support/hopSamples.js';
@@ -110,6 +112,32 @@
   });
 });
 
+test('a request whose cancellation arrives together with it is already cancelled when it starts', async () => {
+  const states: boolean[] = [];
+  let onHandled: () => void = () => undefined;
+  const handled = new Promise<void>((resolve) => {
+    onHandled = resolve;
+  });
+  const handler: HopHandler = async (_request, signal) => {
+    states.push(signal.aborted);
+    if (states.length === 2) onHandled();
+    return responseWith(Buffer.alloc(0));
+  };
+  await withServer(handler, async (port) => {
+    const socket = connect({ host: '127.0.0.1', port });
+    const stream = new MessageStream(socket, () => undefined);
+    socket.cork();
+    stream.write(encodeHello(originPeer));
+    stream.write(encodeRequest(1, hopRequest, originPeer, undefined), hopRequest.body);
+    stream.write(encodeRequest(2, hopRequest, originPeer, undefined), hopRequest.body);
+    stream.write(['cancel', 1]);
+    socket.uncork();
+    await handled;
+    socket.destroy();
+  });
+  assert.deepEqual(states, [true, false]);
+});
+
 test('a request on a lost connection fails with an unknown outcome', async () => {
   await withListener(
     (socket) => socket.once('data', () => socket.destroy()),
--- a/packages/core/src/forwarding/hopServer.ts
+++ b/packages/core/src/forwarding/hopServer.ts
@@ -18,6 +18,9 @@
 
   private readonly sockets = new Set<Socket>();
 
+  /** Starts of requests that were read in this turn of the event loop. */
+  private arrived: (() => void)[] = [];
+
   constructor(
     private readonly local: HopPeer,
     private readonly handler: HopHandler,
@@ -42,6 +45,20 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /**
+   * Starts a request once all that has arrived is read. On a busy host the cancellation of a request
+   * may be waiting behind it, and its work must not begin then.
+   */
+  private startSoon(start: () => void): void {
+    this.arrived.push(start);
+    if (this.arrived.length > 1) return;
+    setImmediate(() => {
+      const starts = this.arrived;
+      this.arrived = [];
+      starts.forEach((startRequest) => startRequest());
+    });
+  }
+
   /** Serves a connection; when it is lost, all its requests are cancelled. */
   private serve(socket: Socket): void {
     this.sockets.add(socket);
@@ -58,16 +75,19 @@
       else if (message.kind === 'cancel') {
         controllers.get(message.id)?.abort(new Error('the calling daemon cancelled the request'));
       } else if (message.kind === 'request') {
+        const { id, request } = message;
         const controller = new AbortController();
-        controllers.set(message.id, controller);
-        this.handler({ ...message.request, body }, controller.signal, remoteAddress)
-          .then((response) => {
-            controllers.delete(message.id);
-            if (!socket.destroyed) {
-              stream.write(encodeResponse(message.id, response), response.response.body);
-            }
-          })
-          .catch((error: Error) => socket.destroy(error));
+        controllers.set(id, controller);
+        this.startSoon(() => {
+          this.handler({ ...request, body }, controller.signal, remoteAddress)
+            .then((response) => {
+              controllers.delete(id);
+              if (!socket.destroyed) {
+                stream.write(encodeResponse(id, response), response.response.body);
+              }
+            })
+            .catch((error: Error) => socket.destroy(error));
+        });
       }
     });
 
