fix(admission): a more important request does not wait behind the child calls of less important trees

Every child call preceded every root call, also that of a far more important route, and a full queue shed the roots first; so did each child call that waited too long. Attendance came after browsing, against what the users ask for.

Calls are ranked by importance, child calls before root calls of the same importance, for the start and for shedding alike. Trees are still shed at their root first, by levels.

--- a/packages/core/src/admission/admissionQueue.ts
+++ b/packages/core/src/admission/admissionQueue.ts
@@ -1,23 +1,25 @@
-import { PRIORITIES_PER_IMPORTANCE } from './shedLevel.js';
-
 /** A call that waits for a slot. */
 export interface QueueEntry {
-  /** Calls of higher priority are shed later; see `priorityOf`. */
+  /** Calls of higher rank are started earlier and shed later. */
+  rank: number;
+  /** Among calls of one rank, those of higher priority are shed later; see `priorityOf`. */
   priority: number;
   /** Deadline of the call on the monotonic clock, in milliseconds. */
   deadlineAt: number;
 }
 
-function importanceRankOf(entry: QueueEntry): number {
-  return Math.floor(entry.priority / PRIORITIES_PER_IMPORTANCE);
+function precedes(one: QueueEntry, other: QueueEntry): boolean {
+  if (one.rank !== other.rank) return one.rank > other.rank;
+  return one.deadlineAt < other.deadlineAt;
 }
 
-function precedes(one: QueueEntry, other: QueueEntry): boolean {
-  const rankDifference = importanceRankOf(one) - importanceRankOf(other);
-  return rankDifference > 0 || (rankDifference === 0 && one.deadlineAt < other.deadlineAt);
+/** True when `other` is shed before `one`. */
+export function outranks(one: QueueEntry, other: QueueEntry): boolean {
+  if (one.rank !== other.rank) return one.rank > other.rank;
+  return one.priority > other.priority;
 }
 
-/** Calls waiting for a slot, ordered by importance and then by deadline. */
+/** Calls waiting for a slot, ordered by rank and then by deadline. */
 export class AdmissionQueue<Entry extends QueueEntry> {
   private readonly entries: Entry[] = [];
 
@@ -45,7 +47,7 @@
     return true;
   }
 
-  /** Removes and returns the calls of the lowest priorities until at most `capacity` remain. */
+  /** Removes and returns the lowest calls until at most `capacity` remain. */
   trimTo(capacity: number): Entry[] {
     const removed: Entry[] = [];
     while (this.entries.length > capacity) removed.push(this.removeLowest());
@@ -59,11 +61,9 @@
     return removed;
   }
 
-  /** Among equal priorities, removes the call that was queued last. */
+  /** Among equal calls, removes the one that was queued last. */
   private removeLowest(): Entry {
-    const lowest = this.entries.reduce((low, entry) =>
-      entry.priority <= low.priority ? entry : low,
-    );
+    const lowest = this.entries.reduce((low, entry) => (outranks(entry, low) ? low : entry));
     this.remove(lowest);
     return lowest;
   }
--- a/packages/core/src/admission/targetAdmission.ts
+++ b/packages/core/src/admission/targetAdmission.ts
@@ -18,10 +18,10 @@
 import { FixedLimit } from './fixedLimit.js';
 import { ResultCode } from '../runtime/resultCode.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
-import { PRIORITY_COUNT, ShedLevel, priorityOf } from './shedLevel.js';
+import { PRIORITIES_PER_IMPORTANCE, ShedLevel, priorityOf } from './shedLevel.js';
 import { UnlimitedLimit } from './unlimitedLimit.js';
 
-import { AdmissionQueue } from './admissionQueue.js';
+import { AdmissionQueue, outranks } from './admissionQueue.js';
 import type { QueueEntry } from './admissionQueue.js';
 
 /** Options of `createAdmission`. */
@@ -84,6 +84,15 @@
   [ResultCode.notRunDraining, 'the target is draining; send the call to another target'],
 ]);
 
+/**
+ * Ranks by importance, and child calls before root calls of the same importance: if a child call
+ * fails, the work done for its call tree is lost. A more important request does not wait behind the
+ * child calls of less important trees; those are to be shed at their root.
+ */
+function rankOf(priority: number, isChildCall: boolean): number {
+  return 2 * Math.floor(priority / PRIORITIES_PER_IMPORTANCE) + (isChildCall ? 1 : 0);
+}
+
 function rejection(code: ResultNumber): Err<Failure> {
   return Err(createFailure(code, rejectionMessages.get(code) ?? 'the call was not run'));
 }
@@ -211,8 +220,8 @@
     const enteredAt = this.clock.now();
     const cleanup = new AbortController();
     const call: QueuedCall = {
-      // A child call precedes all root calls: if it fails, the work done for its call tree is lost.
-      priority: request.isChildCall ? priority + PRIORITY_COUNT : priority,
+      priority,
+      rank: rankOf(priority, request.isChildCall ?? false),
       deadlineAt,
       minRemainingMs,
       enteredAt,
@@ -252,7 +261,7 @@
     if (this.queue.remove(call)) this.reject(call, ResultCode.notRunCancelled);
   }
 
-  /** Rejects a call that waited too long; sheds all of lower priority, which would wait longer. */
+  /** Rejects a call that waited too long; sheds all that it outranks, which would wait longer. */
   private timeOut(call: QueuedCall): void {
     if (!this.queue.remove(call)) return;
     if (this.isTooLate(call)) {
@@ -261,7 +270,7 @@
     }
     this.shed(call, ResultCode.notRunQueueTimeout);
     this.queue
-      .removeWhere((other) => other.priority < call.priority)
+      .removeWhere((other) => outranks(call, other))
       .forEach((other) => this.shed(other, ResultCode.notRunShed));
   }
 
