--- a/packages/core/src/__tests__/httpServer.spec.ts
+++ b/packages/core/src/__tests__/httpServer.spec.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import { request } from 'undici';
 import { CallHeader } from '../calls/callHeaders.js';
@@ -39,3 +41,32 @@
   const withoutId = await post(handler, 'x');
   assert.equal(withoutId.headers[CallHeader.request], undefined);
 });
+
+/** Opens a connection and waits until it is established. */
+function open(port: number): Promise<Socket> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => resolve(socket));
+  });
+}
+
+test('on a busy host requests whose clients have already left do not reach the handler', async () => {
+  let handled = 0;
+  const { server, port } = await listenHttp('127.0.0.1', 0, LIMIT_BYTES, async () => {
+    handled += 1;
+    return { status: 200, headers: {}, body: Buffer.alloc(0) };
+  });
+  const sockets = await Promise.all(Array.from({ length: 30 }, () => open(port)));
+  // The server has accepted all connections and reads nothing until this turn ends.
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  sockets.forEach((socket) => {
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+    socket.destroy();
+  });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  await closeHttp(server);
+  assert.equal(handled, 0);
+});
--- a/packages/core/src/forwarding/hopServer.ts
+++ b/packages/core/src/forwarding/hopServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Logger } from '../observability/logger.js';
+import { ArrivalBatch } from '../runtime/arrivalBatch.js';
 import { encodeResponse, encodeHello, decodeHopMessage } from './hopMessages.js';
 import type { HopResponse, HopPeer, HopRequest } from './hopMessages.js';
 import { MessageStream } from './messageStream.js';
@@ -18,8 +19,7 @@
 
   private readonly sockets = new Set<Socket>();
 
-  /** Starts of requests that were read in this turn of the event loop. */
-  private arrived: (() => void)[] = [];
+  private readonly arrivals = new ArrivalBatch();
 
   constructor(
     private readonly local: HopPeer,
@@ -45,20 +45,6 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
-  /**
-   * Starts a request once all that has arrived is read. On a busy host the cancellation of a request
-   * may be waiting behind it, and its work must not begin then.
-   */
-  private startSoon(start: () => void): void {
-    this.arrived.push(start);
-    if (this.arrived.length > 1) return;
-    setImmediate(() => {
-      const starts = this.arrived;
-      this.arrived = [];
-      starts.forEach((startRequest) => startRequest());
-    });
-  }
-
   /** Serves a connection; when it is lost, all its requests are cancelled. */
   private serve(socket: Socket): void {
     this.sockets.add(socket);
@@ -78,7 +64,7 @@
         const { id, request } = message;
         const controller = new AbortController();
         controllers.set(id, controller);
-        this.startSoon(() => {
+        this.arrivals.add(() => {
           this.handler({ ...request, body }, controller.signal, remoteAddress)
             .then((response) => {
               controllers.delete(id);
--- a/packages/core/src/http/httpServer.ts
+++ b/packages/core/src/http/httpServer.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'ts-results-es';
 import { failureResponse } from '../calls/callResponse.js';
 import { CallHeader } from '../calls/callHeaders.js';
+import { ArrivalBatch } from '../runtime/arrivalBatch.js';
 import { systemClock } from '../runtime/clock.js';
 import type { Clock } from '../runtime/clock.js';
 import { createFailure } from '../runtime/failure.js';
@@ -120,6 +121,7 @@
   incoming: IncomingMessage,
   outgoing: ServerResponse,
   limitBytes: number,
+  arrivals: ArrivalBatch,
   handler: HttpHandler,
 ): Promise<void> {
   const disconnected = new AbortController();
@@ -131,6 +133,11 @@
     writeResponse(outgoing, failureResponse(body.error));
     return;
   }
+  await new Promise<void>((resolve) => {
+    arrivals.add(resolve);
+  });
+  // The end of the connection is known here some turns before the response reports its close.
+  if (incoming.socket.destroyed || incoming.socket.readableEnded) return;
   const response = await handler({
     method: incoming.method ?? 'GET',
     url: incoming.url ?? '/',
@@ -152,15 +159,18 @@
 ): Promise<ListeningServer> {
   const server = createServer();
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  const arrivals = new ArrivalBatch();
   const active = new Set<Promise<void>>();
   activeRequests.set(server, active);
   const application = polka({ server });
   application.use((incoming, response) => {
-    const served = serve(incoming, response, limitBytes, handler).catch((error: unknown) => {
-      // The handler may have executed the request, so the code must not say "not run".
-      const failure = createFailure(ResultCode.internal, (error as Error).message);
-      writeResponse(response, failureResponse(failure));
-    });
+    const served = serve(incoming, response, limitBytes, arrivals, handler).catch(
+      (error: unknown) => {
+        // The handler may have executed the request, so the code must not say "not run".
+        const failure = createFailure(ResultCode.internal, (error as Error).message);
+        writeResponse(response, failureResponse(failure));
+      },
+    );
     active.add(served);
     served.finally(() => active.delete(served)).catch(() => undefined);
   });
