fix(core): responses of other daemons to control messages are bounded

The last unbounded read of outside bytes: a peer's response without end was collected until the timeout. One function reads texts with a bound, for the store and for peers.

--- a/packages/core/src/__tests__/endlessResponses.spec.ts
+++ b/packages/core/src/__tests__/endlessResponses.spec.ts
@@ -1,13 +1,17 @@
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import type { Result } from 'ts-results-es';
 import type { CallResponse } from '../calls/call.js';
+import { HopServer } from '../forwarding/hopServer.js';
 import { HttpCallTransport } from '../http/httpCallTransport.js';
+import { silentLogger } from '../observability/logger.js';
+import { RpcPeerCaller } from '../peers/peerCaller.js';
 import type { Failure } from '../runtime/failure.js';
 import { systemClock } from '../runtime/clock.js';
 import { ResultCode } from '../runtime/resultCode.js';
+import { targetPeer } from './support/hopSamples.js';
 
 const MB = 1024 * 1024;
 const head = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n';
@@ -90,3 +94,40 @@
     assert.equal(result.unwrapErr().code, ResultCode.unknownConnectionLost);
   });
 });
+
+test('an endless response of another daemon to a control message is ended', async () => {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => writeForever(socket, 'HTTP/1.1 200 OK\r\n\r\n'));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const caller = new RpcPeerCaller();
+  const called = await caller.call({ address: '127.0.0.1', port }, 'any', {}, 20_000);
+  assert.match(called.unwrapErr().message, /longer than \d+ bytes/);
+  while (sockets.size > 0) await new Promise(setImmediate);
+  await caller.close();
+  server.close();
+});
+
+test('an endless message between daemons closes its connection', async () => {
+  const server = new HopServer(
+    targetPeer,
+    () => Promise.reject(new Error('no request is expected')),
+    silentLogger,
+  );
+  const socket = connect({ host: '127.0.0.1', port: await server.listen('127.0.0.1', 0) });
+  socket.on('error', () => undefined);
+  const closed = new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  // The header of a frame that announces more than any message has.
+  writeForever(socket, '\x7f\x7f\x7f\x7f\x7f\x7f\x7f\x7f');
+  await closed;
+  server.close();
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -172,6 +172,7 @@
 export type { BootstrapManager, BootstrapManagerOptions } from './membership/bootstrapAddresses.js';
 export { BOOTSTRAP_PREFIX, CONFIGURATION_KEY, bootstrapKey } from './store/storeKeys.js';
 export { StorePacing } from './store/storePacing.js';
+export { readText } from './http/readText.js';
 export { HttpCallTransport, defaultConnectionBounds } from './http/httpCallTransport.js';
 export type { HttpCallTransportOptions } from './http/httpCallTransport.js';
 export type { ConnectionBounds, ConnectionCounts } from './http/endpointConnections.js';
--- a/packages/core/src/peers/peerCaller.ts
+++ b/packages/core/src/peers/peerCaller.ts
@@ -3,6 +3,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Agent } from 'undici';
+import { readText } from '../http/readText.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import type { PeerAddress, PeerCaller } from './peer.js';
@@ -10,6 +11,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 10_000;
+/** Longest response to a control message. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 /** Sends control messages as JSON-RPC over HTTP on persistent connections. */
 export class RpcPeerCaller implements PeerCaller {
@@ -52,7 +55,8 @@
           body: JSON.stringify(message),
           signal: AbortSignal.timeout(timeoutMs),
         });
-        client.receive((await response.body.json()) as JSONRPCResponse);
+        const text = await readText(response.body, MAX_RESPONSE_BYTES);
+        client.receive(JSON.parse(text) as JSONRPCResponse);
       },
       () => {
         this.lastId += 1;
