feat(core): log the rate limit that a target names and the requests it gets

The daemon beside the target now logs both, and the requests sent in each second while a limit stands; the limit is a gauge. No decision changes.

--- a/packages/core/src/forwarding/forwardedRequest.ts
+++ b/packages/core/src/forwarding/forwardedRequest.ts
@@ -25,6 +25,14 @@
 /** What a target's response shows about the execution of its request. */
 export type ResponseClass = 'executed' | 'notExecuted' | 'wrongInstance' | 'damaged';
 
+/** What a target tells about itself in a response. */
+export interface TargetNotice {
+  /** Requests per second that the target accepts from all hosts together. */
+  rateLimit: number | 'none' | 'unreadable';
+  /** True when the target is leaving. */
+  isLeaving: boolean;
+}
+
 /** Information that is sent to the target in addition to the caller's headers. */
 export interface TargetEnvelope {
   id: string;
@@ -53,4 +61,7 @@
 
   /** Classifies a complete response of a target. */
   abstract classifyResponse(status: number, headers: CallHeaders): ResponseClass;
+
+  /** Reads what a target tells about itself in the headers of a response. */
+  abstract readNotice(headers: CallHeaders): TargetNotice;
 }
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -14,6 +14,7 @@
 import type { AttemptRegistry } from './attemptRegistry.js';
 import type { HeaderCodec } from './forwardedRequest.js';
 import type { HopResponse, HopRequest, TargetLoad } from './hopMessages.js';
+import type { LocalTargetNotices } from './localTargetNotices.js';
 import type { CallTrees } from './callTrees.js';
 
 /** Weight of the newest sample in the moving average of the target's response time. */
@@ -47,6 +48,7 @@
   admission: Admission;
   attempts: AttemptRegistry;
   target: LocalTarget;
+  notices: LocalTargetNotices;
   trees: CallTrees;
   levels: RouteShedLevels;
   histograms: Histograms;
@@ -126,6 +128,14 @@
     );
   }
 
+  /** Records what the target tells about itself, unless another target responded in its place. */
+  function recordNotice(request: HopRequest, targetId: string, response: CallResponse): void {
+    const { status, headers } = response;
+    if (headerCodec.classifyResponse(status, headers) === 'wrongInstance') return;
+    const notice = headerCodec.readNotice(headers);
+    options.notices.receive({ notice, targetId, requestId: request.callerId });
+  }
+
   async function send(
     request: HopRequest,
     deadlineAt: number,
@@ -148,6 +158,7 @@
       targetId: local.targetId,
     };
     const startedAt = clock.now();
+    options.notices.recordSend();
     const sent = await options.transport.send(
       options.endpoint,
       request.url,
@@ -168,6 +179,7 @@
     if (routeServiceMs.size > MAX_TRACKED_ROUTES) routeServiceMs.clear();
     const mean = routeServiceMs.get(request.route) ?? elapsedMs;
     routeServiceMs.set(request.route, mean + SERVICE_TIME_SAMPLE_WEIGHT * (elapsedMs - mean));
+    recordNotice(request, local.targetId, sent.value);
     return { result: resultOfResponse(sent.value), reached };
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -245,10 +245,12 @@
   CallerFields,
   ForwardedRequest,
   TargetEnvelope,
+  TargetNotice,
 } from './forwarding/forwardedRequest.js';
 export { HopClient } from './forwarding/hopClient.js';
 export { HopServer } from './forwarding/hopServer.js';
 export type { HopResponse, HopPeer, HopRequest, TargetLoad } from './forwarding/hopMessages.js';
+export { LocalTargetNotices } from './forwarding/localTargetNotices.js';
 export { AttemptRegistry } from './forwarding/attemptRegistry.js';
 export type { VoidOutcome } from './forwarding/attemptRegistry.js';
 export { createRequestGuard } from './forwarding/requestGuard.js';
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -5,6 +5,7 @@
   HttpCallTransport,
   ChildCallFailures,
   LocalTarget,
+  LocalTargetNotices,
   PeerServer,
   CallTrees,
   RetryBudget,
@@ -69,6 +70,7 @@
   routing: RoutingManager;
   directory: TargetDirectory;
   target: LocalTarget;
+  notices: LocalTargetNotices;
   trees: CallTrees;
   failures: ChildCallFailures;
   levels: RouteShedLevels;
@@ -118,6 +120,7 @@
     routing: new RoutingManager(random, logger),
     directory,
     target: new LocalTarget(clock, logger),
+    notices: new LocalTargetNotices(clock, logger),
     trees,
     failures,
     levels: new RouteShedLevels({ clock, random, trees, failures }),
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -66,9 +66,11 @@
 }
 
 function createMetricsHandler(components: ForwardingComponents): HttpHandler {
-  const { state, routing, directory, gateway, admission, counters, histograms } = components;
+  const { state, routing, directory, gateway, admission, counters, histograms, notices } =
+    components;
   return async () => {
     const { inFlight, waiting, limit } = admission.load();
+    const rateLimit = notices.currentLimit();
     const gauges = {
       configuration_version: routing.version(),
       store_reachable: state.isStoreReachable ? 1 : 0,
@@ -77,6 +79,7 @@
       target_in_flight: inFlight,
       target_waiting: waiting,
       target_limit: limit,
+      ...(rateLimit !== undefined && { target_rate_limit: rateLimit }),
       shed_level: admission.shedLevel(),
     };
     const body = Buffer.from(metricsText(gauges, counters, histograms.rows()));
