fix(scripts): tests listed in KNOWN-RED.txt are passed over again

Listed tests ran and failed the run. The name pattern of the test runner also matches the names of parents, and the root of each file matched the negative look-ahead, so that all its tests ran.

--- a/scripts/src/runTests.ts
+++ b/scripts/src/runTests.ts
@@ -2,6 +2,7 @@
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { knownRedTests, namePatternFlags } from './knownRed.js';
 
 /** Runs every spec of the workspace, or the files given; prints and skips tests in KNOWN-RED.txt. */
 
@@ -16,12 +17,6 @@
   'platform',
 ];
 
-function knownRedTests(): string[] {
-  if (!existsSync(knownRedFile)) return [];
-  const lines = readFileSync(knownRedFile, 'utf8').split('\n');
-  return lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice(6).trim());
-}
-
 function specFiles(): string[] {
   return specFolders.flatMap((folder) => {
     const specs = path.join(root, folder, 'dist/__tests__');
@@ -31,18 +26,7 @@
   });
 }
 
-function escapeRegExp(text: string): string {
-  return text.replace(/[.*+?^${}()|[\]\\/]/g, '\\$&');
-}
-
-/** Node 20 has no `--test-skip-pattern`, so a negative look-ahead excludes the names to skip. */
-function namePatternFlags(names: string[]): string[] {
-  if (names.length === 0) return [];
-  const skipped = names.map((name) => `${escapeRegExp(name)}$`).join('|');
-  return [`--test-name-pattern=/^(?!${skipped})/`];
-}
-
-const knownRed = knownRedTests();
+const knownRed = existsSync(knownRedFile) ? knownRedTests(readFileSync(knownRedFile, 'utf8')) : [];
 knownRed.forEach((name) => console.log(`KNOWN RED, passed over: ${name}`));
 const files = process.argv.length > 2 ? process.argv.slice(2) : specFiles();
 const run = spawnSync(
