fix(core): targets get no more requests than the rate limit they name

What callers saw: nothing yet. A target that named a limit got 232 to 302 requests in 4 s where 196 to 223 are permitted, as many as without a limit.

Cause: a statement of the target that comes with its responses was passed on and not acted on. Only heartbeats and slots were inputs of admission and placement.

Now the daemon beside the target, through which all requests pass, starts calls through a token bucket in its admission: queued calls start in order of importance as the bucket permits, the shed level counts the permitted rate as the capacity, and gateways prefer targets that would start a request sooner. Responses arrive in another order than they are written, so a limit ends only with a response to a request that was sent after it was named. A limit travels with responses between daemons; a gateway sends it along to a restarted daemon, which has lost it, until its target responds. Messages without a limit are as long as before, and daemons of the former build read them.

--- a/packages/core/src/__tests__/hopMessages.spec.ts
+++ b/packages/core/src/__tests__/hopMessages.spec.ts
@@ -67,6 +67,26 @@
   });
 });
 
+const rateLimit = { targetId: 'i-1', startedAt: 1_700_000_000_000, requestsPerSecond: 33.8 };
+
+test('a rate limit is decoded as it was encoded, and a message without one is not longer', () => {
+  assertRequestDecoded({ ...hopRequest, rateLimit }, targetPeer);
+  const { body, ...head } = hopResponse.response;
+  assert.equal(body.length, 0);
+  const decoded = decodeAfterJson(
+    encodeResponse(3, { ...hopResponse, rateLimit }),
+    originPeer,
+    targetPeer,
+  );
+  assert.deepEqual(decoded, {
+    kind: 'answer',
+    id: 3,
+    response: { ...hopResponse, response: head, rateLimit },
+  });
+  const withoutLimit = encodeResponse(3, { ...hopResponse, rateLimit: undefined });
+  assert.deepEqual(withoutLimit, encodeResponse(3, hopResponse));
+});
+
 test('a request before hello, another protocol version or a malformed message is not decoded', () => {
   const [, protocolVersion, ...rest] = encodeHello(originPeer);
   assert.equal(
--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { TargetDirectory } from '../directory/targetDirectory.js';
 import type { KnownTarget } from '../directory/targetDirectory.js';
-import type { HopResponse, TargetLoad } from '../forwarding/hopMessages.js';
+import type { HopResponse, TargetLoad, TargetRateLimit } from '../forwarding/hopMessages.js';
 import { silentLogger } from '../observability/logger.js';
 import { ManualClock } from '../runtime/manualClock.js';
 import { TargetPlacement } from '../placement/targetPlacement.js';
@@ -132,3 +132,41 @@
   await clock.advance(1000);
   assert.ok(Array.from({ length: 60 }, () => choose()?.key).includes('local-1'));
 });
+
+function limitOf(requestsPerSecond: number): TargetRateLimit {
+  return { targetId: 'local-1', startedAt: 1, requestsPerSecond };
+}
+
+test('a target with a rate limit is used when the others would let a request wait longer', async () => {
+  const { directory, placement, choose, report } = createPlacement();
+  const limited = directory.get('local-1') as KnownTarget;
+  placement.recordResponse(limited, { ...responseOf(idle), rateLimit: limitOf(5) });
+  report(['local-2', 'remote-1', 'remote-2'], idle);
+  assert.equal(chosenOf(choose).includes('local-1'), false);
+  report(['local-2', 'remote-1', 'remote-2'], { ...idle, inFlight: 10, waiting: 50 });
+  assert.deepEqual(chosenOf(choose), ['local-1']);
+});
+
+test('a target with a rate limit of zero is used when there is no other, and tried again after a time', async () => {
+  const { clock, directory, placement, choose } = createPlacement();
+  const limited = directory.get('local-1') as KnownTarget;
+  placement.recordResponse(limited, { ...responseOf(idle), rateLimit: limitOf(0) });
+  assert.equal(chosenOf(choose).includes('local-1'), false);
+  assert.equal(choose(['local-2', 'remote-1', 'remote-2'])?.key, 'local-1');
+  await clock.advance(3100);
+  assert.ok(chosenOf(choose).includes('local-1'));
+});
+
+test('a rate limit is reported to a restarted daemon until its target has responded', () => {
+  const { directory, placement } = createPlacement();
+  const target = directory.get('local-1') as KnownTarget;
+  const rateLimit = limitOf(5);
+  const former = { ...responseOf(idle), incarnation: 'run' };
+  placement.recordResponse(target, { ...former, rateLimit });
+  assert.equal(placement.rateLimitOfFormerIncarnation(target), undefined);
+  const restarted = { ...responseOf(idle), incarnation: 'run-2' };
+  placement.recordResponse(target, { ...restarted, code: ResultCode.notRunShed });
+  assert.deepEqual(placement.rateLimitOfFormerIncarnation(target), rateLimit);
+  placement.recordResponse(target, restarted);
+  assert.equal(placement.rateLimitOfFormerIncarnation(target), undefined);
+});
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -48,6 +48,8 @@
   shedLevel(): number;
   /** Number of calls in flight and of calls queued, and the limit. */
   load(): AdmissionLoad;
+  /** Limits the calls that are started per second; undefined removes the limit. */
+  setRateLimit(callsPerSecond: number | undefined): void;
   /** Applies the settings of a new configuration. */
   reconfigure(settings: AdmissionSettings): void;
   /** Rejects queued and new calls from now on; calls in flight continue. */
--- a/packages/core/src/admission/targetAdmission.ts
+++ b/packages/core/src/admission/targetAdmission.ts
@@ -10,12 +10,13 @@
 import type { LimitBounds } from './adaptiveLimit.js';
 import { profileOf } from './admissionProfile.js';
 import { AimdLimit } from './aimdLimit.js';
-import type { Clock } from '../runtime/clock.js';
+import type { Clock, Timer } from '../runtime/clock.js';
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import { ServiceTimeEstimate } from './serviceTimeEstimate.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import { FixedLimit } from './fixedLimit.js';
+import { RateLimit } from './rateLimit.js';
 import { ResultCode } from '../runtime/resultCode.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
 import { PRIORITIES_PER_IMPORTANCE, ShedLevel, priorityOf } from './shedLevel.js';
@@ -57,6 +58,7 @@
 const MIN_LEVEL_STEP_ARRIVALS = 10;
 /** Most steps that are made at once after a time without calls. */
 const MAX_CATCH_UP_STEPS = 50;
+const MS_PER_S = 1000;
 
 /** The times that determine the latest start of a call. */
 interface TimedCall {
@@ -104,6 +106,11 @@
 class TargetAdmission implements Admission {
   private limit: ConcurrencyLimit;
 
+  private readonly rateLimit: RateLimit;
+
+  /** Fires when the rate limit permits the next queued call; undefined while none waits for it. */
+  private rateTimer: Timer | undefined;
+
   private readonly queue = new AdmissionQueue<QueuedCall>();
 
   private readonly serviceTime = new ServiceTimeEstimate();
@@ -128,6 +135,7 @@
     this.clock = options.clock;
     this.settings = options.settings;
     this.limit = this.createLimit();
+    this.rateLimit = new RateLimit(options.clock);
     this.level = new ShedLevel(profileOf(options.settings.objective).shedLevelTuning);
     this.levelSteppedAt = this.clock.now();
   }
@@ -138,7 +146,8 @@
     const rejected = this.rejectImmediately(request, priority);
     if (rejected) return Promise.resolve(rejected);
     this.level.countArrival(priority);
-    if (this.queue.size === 0 && this.inFlight < this.limit.current()) {
+    const isFree = this.inFlight < this.limit.current() && this.rateLimit.waitMs() === 0;
+    if (this.queue.size === 0 && isFree) {
       return Promise.resolve(Ok(this.grant(this.clock.now())));
     }
     return this.enqueue(request, priority);
@@ -162,6 +171,13 @@
     this.admitQueued();
   }
 
+  setRateLimit(callsPerSecond: number | undefined): void {
+    this.rateLimit.set(callsPerSecond);
+    this.rateTimer?.cancel();
+    this.rateTimer = undefined;
+    this.admitQueued();
+  }
+
   close(): void {
     this.isClosed = true;
     this.queue
@@ -208,6 +224,7 @@
       this.queue.trimTo(this.queueCapacity()).forEach((lowest) => {
         this.shed(lowest, ResultCode.notRunShed);
       });
+      if (this.inFlight < this.limit.current()) this.startRateTimer();
     });
   }
 
@@ -250,9 +267,15 @@
       MIN_QUEUE_PER_LIMIT,
       fullQueueWaitMs / this.serviceTime.at(this.clock.now()),
     );
+    const callsPerSecond = this.rateLimit.current() ?? Infinity;
     return Math.max(
       MIN_QUEUE_CAPACITY,
-      Math.ceil(limit * Math.min(maxQueuePerLimit, queuePerLimit)),
+      Math.ceil(
+        Math.min(
+          limit * Math.min(maxQueuePerLimit, queuePerLimit),
+          (callsPerSecond * fullQueueWaitMs) / MS_PER_S,
+        ),
+      ),
     );
   }
 
@@ -287,6 +310,7 @@
 
   private grant(enteredAt: number): Permit {
     const startedAt = this.clock.now();
+    this.rateLimit.take();
     this.inFlight += 1;
     this.admittedCalls += 1;
     let isHeld = true;
@@ -314,6 +338,10 @@
   private admitQueued(): void {
     this.rejectBelowDownstreamLevel();
     while (this.inFlight < this.limit.current()) {
+      if (this.queue.size > 0 && this.rateLimit.waitMs() > 0) {
+        this.startRateTimer();
+        return;
+      }
       const call = this.queue.takeNext();
       if (!call) return;
       if (this.isTooLate(call)) this.reject(call, ResultCode.notRunDeadline);
@@ -321,6 +349,13 @@
     }
   }
 
+  private startRateTimer(): void {
+    this.rateTimer ??= this.clock.startTimer(this.rateLimit.waitMs(), () => {
+      this.rateTimer = undefined;
+      this.admitQueued();
+    });
+  }
+
   /** Rejects queued calls below the downstream shed level, without counting them as shed here. */
   private rejectBelowDownstreamLevel(): void {
     this.queue
@@ -337,11 +372,20 @@
     return Math.min(MAX_LEVEL_STEP_MS, Math.max(MIN_LEVEL_STEP_MS, serviceTimesMs));
   }
 
+  /** Share of the capacity in use: of the slots, or of the calls that the rate limit permits. */
+  private utilisation(elapsedMs: number): number {
+    const slotShare = this.inFlight / this.limit.baseLimit();
+    const callsPerSecond = this.rateLimit.current();
+    if (callsPerSecond === undefined) return slotShare;
+    return Math.max(slotShare, (this.admittedCalls * MS_PER_S) / (callsPerSecond * elapsedMs));
+  }
+
   /** Makes all steps of the shed level that are due. */
   private stepLevel(): void {
     const stepMs = this.levelStepMs();
     const due = Math.floor((this.clock.now() - this.levelSteppedAt) / stepMs);
     if (due <= 0) return;
+    const elapsedMs = this.clock.now() - this.levelSteppedAt;
     this.levelSteppedAt = this.clock.now();
     for (let step = 0; step < Math.min(due, MAX_CATCH_UP_STEPS); step++) {
       this.level.step({
@@ -349,7 +393,7 @@
         queueCapacity: this.queueCapacity(),
         admitted: this.admittedCalls,
         shed: this.shedCalls,
-        utilisation: this.inFlight / this.limit.baseLimit(),
+        utilisation: this.utilisation(elapsedMs),
       });
       this.shedCalls = 0;
       this.admittedCalls = 0;
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -1,11 +1,10 @@
 import type { Clock } from '../runtime/clock.js';
 import type { Logger } from '../observability/logger.js';
+import { isSameRun } from './targetRun.js';
+import type { TargetRun } from './targetRun.js';
 
 /** Status that a target reports to the daemon beside it. */
-export interface TargetHeartbeat {
-  targetId: string;
-  /** Unix time of the target's start, in milliseconds; distinguishes restarts under the same id. */
-  startedAt: number;
+export interface TargetHeartbeat extends TargetRun {
   service: string;
   dataCentre: string;
   slots: number;
@@ -24,10 +23,7 @@
 }
 
 /** What a former process of this daemon has acknowledged to a target that was leaving. */
-export interface AcknowledgedLeaving {
-  targetId: string;
-  /** Unix time of the target's start, in milliseconds. */
-  startedAt: number;
+export interface AcknowledgedLeaving extends TargetRun {
   state: 'draining' | 'gone';
 }
 
@@ -89,13 +85,7 @@
     this.notify('ready');
   }
 
-  private isAcknowledged({
-    targetId,
-    startedAt,
-  }: {
-    targetId: string;
-    startedAt: number;
-  }): boolean {
+  private isAcknowledged({ targetId, startedAt }: TargetRun): boolean {
     const { acknowledged } = this;
     return acknowledged?.targetId === targetId && startedAt <= acknowledged.startedAt;
   }
@@ -114,8 +104,7 @@
     const before = this.state;
     this.lastHeartbeatAt = this.clock.now();
     const { coldRemainingMs, ...rest } = heartbeat;
-    const isSameStart =
-      before?.targetId === heartbeat.targetId && before.startedAt === heartbeat.startedAt;
+    const isSameStart = before !== undefined && isSameRun(heartbeat, before);
     const warmAt = isSameStart ? before.warmAt : this.clock.date().getTime() + coldRemainingMs;
     // Draining is final: the target becomes ready again only after a restart.
     const isLeaving = this.isAcknowledged(heartbeat);
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -1,6 +1,7 @@
 import type { CallResponse, CallHeaders } from '../calls/call.js';
 import { importances } from '../configuration/configuration.js';
 import type { Importance } from '../configuration/configuration.js';
+import type { TargetRun } from '../directory/targetRun.js';
 import type { ResultNumber } from '../runtime/resultCode.js';
 
 /** Protocol version; a daemon closes connections of a peer with a different version. */
@@ -33,6 +34,14 @@
   configurationVersion: number;
   /** Port of the sender for control messages. */
   peerPort: number;
+  /** Limit that a former incarnation of the receiver reported, in case the receiver has lost it. */
+  rateLimit?: TargetRateLimit | undefined;
+}
+
+/** Limit that a run of a target named in its responses. */
+export interface TargetRateLimit extends TargetRun {
+  /** Requests per second from all hosts together. */
+  requestsPerSecond: number;
 }
 
 /** Load of a target. */
@@ -58,6 +67,8 @@
   incarnation: string;
   /** Why there is no response of the target; empty when `code` is `ok`. */
   message: string;
+  /** Limit that the target names; absent without one. */
+  rateLimit?: TargetRateLimit | undefined;
 }
 
 /** What each end of a connection sends once about itself, so that later messages can omit it. */
@@ -98,6 +109,8 @@
   service: string,
 ];
 
+type RateLimitTuple = [targetId: string, startedAt: number, requestsPerSecond: number];
+
 type RequestTuple = [
   kind: 'request',
   id: number,
@@ -119,6 +132,8 @@
   /** Empty when the request is for the incarnation that the receiver sent in its hello. */
   incarnation: string,
   configurationVersion: number,
+  /** Absent without a limit. */
+  rateLimit?: RateLimitTuple,
 ];
 
 type ResponseTuple = [
@@ -136,6 +151,8 @@
   shedLevel: number,
   configurationVersion: number,
   message: string,
+  /** Absent without a limit. */
+  rateLimit?: RateLimitTuple,
 ];
 
 type ControlTuple = ['cancel', number] | ['ping'] | ['pong'];
@@ -144,6 +161,18 @@
   return value ? 1 : 0;
 }
 
+/** Elements at the end of a message: the limit, or none without one. */
+function encodeRateLimit(rateLimit: TargetRateLimit | undefined): [] | [RateLimitTuple] {
+  if (!rateLimit) return [];
+  return [[rateLimit.targetId, rateLimit.startedAt, rateLimit.requestsPerSecond]];
+}
+
+function decodeRateLimit(tuple: RateLimitTuple | undefined): TargetRateLimit | undefined {
+  if (!tuple) return undefined;
+  const [targetId, startedAt, requestsPerSecond] = tuple;
+  return { targetId, startedAt, requestsPerSecond };
+}
+
 /** Id of an attempt made by the daemon `peer`. */
 export function attemptIdOf({ incarnation }: HopPeer, number: number): string {
   return `${incarnation}-${number}`;
@@ -180,6 +209,7 @@
     request.service,
     incarnation === remote?.incarnation ? '' : incarnation,
     request.configurationVersion,
+    ...encodeRateLimit(request.rateLimit),
   ];
 }
 
@@ -201,12 +231,14 @@
     hopResponse.shedLevel,
     hopResponse.configurationVersion,
     hopResponse.message,
+    ...encodeRateLimit(hopResponse.rateLimit),
   ];
 }
 
 function decodeRequest(tuple: RequestTuple, local: HopPeer, remote: HopPeer): HopMessage {
   const [, id, attempt, callerId, method, url, host, headers, remainingMs, ...rest] = tuple;
   const [importance, rootId, isChildCall, route, service, incarnation, configurationVersion] = rest;
+  const rateLimit = decodeRateLimit(rest[7]);
   return {
     kind: 'request',
     id,
@@ -227,6 +259,7 @@
       incarnation: incarnation === '' ? local.incarnation : incarnation,
       configurationVersion,
       peerPort: remote.peerPort,
+      ...(rateLimit && { rateLimit }),
     },
   };
 }
@@ -234,6 +267,7 @@
 function decodeResponse(tuple: ResponseTuple, remote: HopPeer): HopMessage {
   const [, id, code, reached, status, headers, endsWithConnection, ...rest] = tuple;
   const [inFlight, waiting, limit, serviceMs, shedLevel, configurationVersion, message] = rest;
+  const rateLimit = decodeRateLimit(rest[7]);
   return {
     kind: 'answer',
     id,
@@ -246,6 +280,7 @@
       configurationVersion,
       incarnation: remote.incarnation,
       message,
+      ...(rateLimit && { rateLimit }),
     },
   };
 }
--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -120,6 +120,7 @@
       incarnation: placement.incarnationOf(target),
       configurationVersion: routing.version(),
       peerPort: options.localPeer.peerPort,
+      rateLimit: placement.rateLimitOfFormerIncarnation(target),
     };
   }
 
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../runtime/clock.js';
 import type { Counters } from '../observability/counters.js';
 import type { LocalTarget } from '../directory/localTarget.js';
+import type { TargetRun } from '../directory/targetRun.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
 import type { Histograms } from '../observability/histograms.js';
@@ -80,7 +81,7 @@
 
 /** Creates the request guard of the target beside this daemon. */
 export function createRequestGuard(options: RequestGuardOptions): RequestGuard {
-  const { clock, admission, headerCodec, attempts, target, logger } = options;
+  const { clock, admission, headerCodec, attempts, target, notices, logger } = options;
   let active = 0;
   let serviceMs = INITIAL_SERVICE_TIME_MS;
   /** Mean response time of the target by route, in milliseconds. */
@@ -129,11 +130,16 @@
   }
 
   /** Records what the target tells about itself, unless another target responded in its place. */
-  function recordNotice(request: HopRequest, targetId: string, response: CallResponse): void {
+  function recordNotice(
+    request: HopRequest,
+    run: TargetRun,
+    sentAt: number,
+    response: CallResponse,
+  ): void {
     const { status, headers } = response;
     if (headerCodec.classifyResponse(status, headers) === 'wrongInstance') return;
     const notice = headerCodec.readNotice(headers);
-    options.notices.receive({ notice, targetId, requestId: request.callerId });
+    notices.receive({ notice, run, requestId: request.callerId, sentAt });
   }
 
   async function send(
@@ -158,7 +164,7 @@
       targetId: local.targetId,
     };
     const startedAt = clock.now();
-    options.notices.recordSend();
+    notices.recordSend();
     const sent = await options.transport.send(
       options.endpoint,
       request.url,
@@ -179,13 +185,14 @@
     if (routeServiceMs.size > MAX_TRACKED_ROUTES) routeServiceMs.clear();
     const mean = routeServiceMs.get(request.route) ?? elapsedMs;
     routeServiceMs.set(request.route, mean + SERVICE_TIME_SAMPLE_WEIGHT * (elapsedMs - mean));
-    recordNotice(request, local.targetId, sent.value);
+    recordNotice(request, local, startedAt, sent.value);
     return { result: resultOfResponse(sent.value), reached };
   }
 
   async function admit(request: HopRequest, signal: AbortSignal): Promise<TargetOutcome> {
     const rejection = rejectionOf(request);
     if (rejection) return { result: rejection, reached: false };
+    if (request.rateLimit) notices.adopt(request.rateLimit);
     const deadlineAt = clock.now() + request.remainingMs;
     if (!attempts.register(request.attemptId, deadlineAt)) {
       const result = failWith(
@@ -249,6 +256,7 @@
         inFlight: admission.load().inFlight,
         waiting: admission.load().waiting,
         limit: admission.load().limit,
+        rateLimit: notices.rateLimit()?.requestsPerSecond,
       });
     }
     return {
@@ -260,6 +268,7 @@
       configurationVersion: options.configurationVersion(),
       incarnation: options.incarnation,
       message: failure?.message ?? '',
+      rateLimit: notices.rateLimit(),
     };
   }
 
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -1,7 +1,8 @@
+import { MIN_CALLS_PER_SECOND } from '../admission/rateLimit.js';
 import type { Clock } from '../runtime/clock.js';
 import type { KnownTarget, TargetDirectory } from '../directory/targetDirectory.js';
 import type { TargetRecord } from '../directory/targetRecord.js';
-import type { HopResponse, TargetLoad } from '../forwarding/hopMessages.js';
+import type { HopResponse, TargetLoad, TargetRateLimit } from '../forwarding/hopMessages.js';
 import type { RandomSource } from '../runtime/random.js';
 import { ResultCode } from '../runtime/resultCode.js';
 
@@ -32,6 +33,13 @@
 /** Weight of the newest response in the moving average of refusals. */
 const NEWEST_REFUSAL_WEIGHT = 0.1;
 
+/**
+ * Time for which a reported rate limit makes a target more expensive, in milliseconds. Without requests
+ * this daemon would not learn that the limit no longer applies.
+ */
+const MAX_RATE_LIMIT_AGE_MS = 3000;
+const MS_PER_S = 1000;
+
 /** Load that a target's daemon reported with its last response. */
 interface LoadReport {
   load: TargetLoad;
@@ -41,11 +49,21 @@
   outstanding: number;
 }
 
+/** Rate limit that a target's daemon reported. */
+interface RateLimitReport {
+  rateLimit: TargetRateLimit;
+  /** Incarnation of the daemon that reported it. */
+  incarnation: string;
+  /** When it was last reported, on the monotonic clock, in milliseconds. */
+  receivedAt: number;
+}
+
 /** State of a target as seen by this daemon. */
 interface TargetView {
   /** Requests that this daemon sent to the target and that have not ended. */
   outstanding: number;
   loadReport: LoadReport | undefined;
+  rateLimitReport: RateLimitReport | undefined;
   /** The target is avoided until then, on the monotonic clock, in milliseconds. */
   avoidUntil: number;
   /** Failed connections to the target's daemon since its last response. */
@@ -68,6 +86,26 @@
   dataCentre: string;
 }
 
+/** The rate limit of a target that is known after a response of its daemon. */
+function rateLimitReportAfter(
+  { code, rateLimit, incarnation }: HopResponse,
+  before: RateLimitReport | undefined,
+  now: number,
+): RateLimitReport | undefined {
+  if (rateLimit) return { rateLimit, incarnation, receivedAt: now };
+  // A daemon that has just started does not know the limit before its target has responded.
+  const hasTargetResponded = code === ResultCode.ok || code === ResultCode.notRunTargetRefused;
+  return hasTargetResponded ? undefined : before;
+}
+
+/** Time until a further request may start because of the target's rate limit, in milliseconds. */
+function rateLimitWaitMs(view: TargetView, waiting: number, now: number): number {
+  const report = view.rateLimitReport;
+  if (!report || now - report.receivedAt > MAX_RATE_LIMIT_AGE_MS) return 0;
+  const { requestsPerSecond } = report.rateLimit;
+  return ((waiting + 1) * MS_PER_S) / Math.max(MIN_CALLS_PER_SECOND, requestsPerSecond);
+}
+
 /**
  * Chooses the target of a request: the cheapest of two random targets in the same data centre and
  * two in others. The cost of a target in another data centre includes `REMOTE_COST_MS`.
@@ -114,6 +152,16 @@
       : incarnation;
   }
 
+  /**
+   * Rate limit of the target that its daemon reported before a restart, and may have lost by it;
+   * undefined if the running daemon reported it.
+   */
+  rateLimitOfFormerIncarnation(target: KnownTarget): TargetRateLimit | undefined {
+    const report = this.views.get(target.key)?.rateLimitReport;
+    if (!report || report.incarnation === this.incarnationOf(target)) return undefined;
+    return report.rateLimit;
+  }
+
   /** Records the start of a request to the target. */
   begin(target: KnownTarget): void {
     this.viewOf(target.key).outstanding += 1;
@@ -131,6 +179,7 @@
     view.failedConnections = 0;
     view.drainingRecord = undefined;
     view.loadReport = { load: response.load, receivedAt: now, outstanding: view.outstanding };
+    view.rateLimitReport = rateLimitReportAfter(response, view.rateLimitReport, now);
     if (response.reached) {
       const refusal = response.code === ResultCode.notRunTargetRefused ? 1 : 0;
       view.refusalShare += NEWEST_REFUSAL_WEIGHT * (refusal - view.refusalShare);
@@ -220,17 +269,20 @@
     const remoteCost = record.dataCentre === this.options.dataCentre ? 0 : REMOTE_COST_MS;
     const refusalCost = view.refusalShare * REFUSAL_COST_MS;
     const coldCost = record.warmAt > this.options.clock.date().getTime() ? COLD_START_COST_MS : 0;
+    const fixedCost = remoteCost + coldCost + refusalCost;
     const { loadReport } = view;
     if (!loadReport || now - loadReport.receivedAt > MAX_LOAD_AGE_MS) {
-      return remoteCost + coldCost + refusalCost + view.outstanding / record.slots;
+      const rateWaitMs = rateLimitWaitMs(view, view.outstanding, now);
+      return fixedCost + rateWaitMs + view.outstanding / record.slots;
     }
     const { load } = loadReport;
-    const expectedLoad =
-      load.inFlight + load.waiting + Math.max(0, view.outstanding - loadReport.outstanding);
+    const startedSince = Math.max(0, view.outstanding - loadReport.outstanding);
+    const expectedLoad = load.inFlight + load.waiting + startedSince;
+    const rateWaitMs = rateLimitWaitMs(view, load.waiting + startedSince, now);
     const waitMs =
       (Math.max(0, expectedLoad + 1 - NO_WAIT_UTILISATION * load.limit) * load.serviceMs) /
       load.limit;
-    return remoteCost + coldCost + refusalCost + waitMs + expectedLoad / load.limit;
+    return fixedCost + Math.max(waitMs, rateWaitMs) + expectedLoad / load.limit;
   }
 
   private viewOf(key: string): TargetView {
@@ -239,6 +291,7 @@
       view = {
         outstanding: 0,
         loadReport: undefined,
+        rateLimitReport: undefined,
         avoidUntil: 0,
         failedConnections: 0,
         drainingRecord: undefined,
--- a/packages/daemon/src/forwardingComponents.ts
+++ b/packages/daemon/src/forwardingComponents.ts
@@ -64,12 +64,14 @@
   });
 }
 
-/** Sets the admission limit from the local target's slots and announces changes of the target. */
+/** Sets the admission limits from what the local target reports, and announces its changes. */
 function subscribeToTarget({
   target,
+  notices,
   admission,
   fleetSync,
 }: ForwardingContext & { fleetSync: FleetSync }) {
+  notices.onChange(() => admission.setRateLimit(notices.rateLimit()?.requestsPerSecond));
   target.onChange(() => {
     const local = target.current();
     if (local) {
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -102,6 +102,7 @@
   const { dataCentre } = settings;
   const retryBounds = effectiveRetryBounds(settings.retry);
   const placement = new TargetPlacement({ clock, random, directory, dataCentre });
+  const target = new LocalTarget(clock, logger);
   const { peerPort } = settings.listen;
   const localHopPeer: HopPeer = { incarnation, peerPort, service: settings.service };
   const hopClient = new HopClient(localHopPeer, clock, ({ address, port }, idleMs) => {
@@ -119,8 +120,8 @@
     },
     routing: new RoutingManager(random, logger),
     directory,
-    target: new LocalTarget(clock, logger),
-    notices: new LocalTargetNotices(clock, logger),
+    target,
+    notices: new LocalTargetNotices({ clock, logger, target }),
     trees,
     failures,
     levels: new RouteShedLevels({ clock, random, trees, failures }),
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -70,7 +70,7 @@
     components;
   return async () => {
     const { inFlight, waiting, limit } = admission.load();
-    const rateLimit = notices.currentLimit();
+    const rateLimit = notices.rateLimit()?.requestsPerSecond;
     const gauges = {
       configuration_version: routing.version(),
       store_reachable: state.isStoreReachable ? 1 : 0,
--- a/playground/src/__tests__/leaving.spec.ts
+++ b/playground/src/__tests__/leaving.spec.ts
@@ -77,6 +77,7 @@
       enter: async () => Ok({ queueTimeMs: 0, release: () => undefined }),
       shedLevel: () => 0,
       load: () => ({ inFlight: 1, waiting: 0, limit: 1 }),
+      setRateLimit: () => undefined,
       reconfigure: () => undefined,
       close: () => undefined,
     },
