fix(core): a target that says in its responses that it is leaving gets no new requests

What callers saw: nothing yet. A target whose responses say that it is leaving went on getting requests until its heartbeat said so too; after a restart of its daemon while the store was away, it got them again.

Cause: as with the rate limit, what responses say was not read. And leaving was kept by one process and one store record, although it is final for a run of a target: every later record that said ready was believed.

The daemon beside the target now drains it by its response. A restart of the target is another run. restore() also turns a draining target into one that is gone, which the order of the two records had prevented once both are heard.

--- a/packages/core/src/__tests__/hopMessages.spec.ts
+++ b/packages/core/src/__tests__/hopMessages.spec.ts
@@ -69,7 +69,7 @@
 
 const rateLimit = { targetId: 'i-1', startedAt: 1_700_000_000_000, requestsPerSecond: 33.8 };
 
-test('a rate limit is decoded as it was encoded, and a message without one is not longer', () => {
+test('a rate limit and a leaving run are decoded as they were encoded, and a message without one is not longer', () => {
   assertRequestDecoded({ ...hopRequest, rateLimit }, targetPeer);
   const { body, ...head } = hopResponse.response;
   assert.equal(body.length, 0);
@@ -83,6 +83,17 @@
     id: 3,
     response: { ...hopResponse, response: head, rateLimit },
   });
+  const leavingRun = { targetId: 'i-1', startedAt: 5 };
+  const leaving = decodeAfterJson(
+    encodeResponse(3, { ...hopResponse, leavingRun }),
+    originPeer,
+    targetPeer,
+  );
+  assert.deepEqual(leaving, {
+    kind: 'answer',
+    id: 3,
+    response: { ...hopResponse, response: head, leavingRun },
+  });
   const withoutLimit = encodeResponse(3, { ...hopResponse, rateLimit: undefined });
   assert.deepEqual(withoutLimit, encodeResponse(3, hopResponse));
 });
--- a/packages/core/src/__tests__/localTargetNotices.spec.ts
+++ b/packages/core/src/__tests__/localTargetNotices.spec.ts
@@ -36,7 +36,7 @@
     });
   };
   const limit = (): number | undefined => notices.rateLimit()?.requestsPerSecond;
-  return { clock, notices, beat, respond, limit };
+  return { clock, target, notices, beat, respond, limit };
 }
 
 test('a rate limit applies until a response without one', async () => {
@@ -99,3 +99,16 @@
   notices.adopt({ ...run, requestsPerSecond: 10 });
   assert.equal(limit(), undefined);
 });
+
+test('a target that is leaving by its response drains, whatever its later heartbeats say', () => {
+  const { target, notices, beat } = createNotices();
+  const notice = { rateLimit: 'none', isLeaving: true } as const;
+  notices.receive({ notice, run: { ...run, startedAt: 4 }, requestId: 'a', sentAt: 0 });
+  assert.equal(target.isReady(), true);
+  notices.receive({ notice, run, requestId: 'b', sentAt: 0 });
+  assert.equal(target.current()?.state, 'draining');
+  beat(run.startedAt);
+  assert.equal(target.isReady(), false);
+  beat(run.startedAt + 1);
+  assert.equal(target.isReady(), true);
+});
--- a/packages/core/src/__tests__/targetDirectory.spec.ts
+++ b/packages/core/src/__tests__/targetDirectory.spec.ts
@@ -195,3 +195,34 @@
   assert.equal(target.current()?.state, 'draining');
   assert.equal(target.isReady(), false);
 });
+
+test('a run that is known to be leaving stays so, whatever a restarted daemon publishes', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory);
+  directory.recordLeaving('targets/a', record);
+  const stateOf = (): string | undefined => directory.targetsOf('books')[0]?.record.state;
+  assert.equal(stateOf(), 'draining');
+  updateFromStore(directory, { incarnation: 'run-2', version: 1 });
+  assert.equal(stateOf(), 'draining');
+  directory.updateFromPeer('targets/a', { ...record, incarnation: 'run-3', version: 1 });
+  assert.equal(stateOf(), 'draining');
+});
+
+test('an older record that reports a run as draining makes it known as leaving', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory, { incarnation: 'run-2', version: 1 });
+  const reported: [string, string][] = [];
+  directory.onLeaving((key, { targetId }) => reported.push([key, targetId]));
+  directory.updateFromPeer('targets/a', { ...record, state: 'draining' });
+  assert.equal(directory.targetsOf('books')[0]?.record.state, 'draining');
+  assert.equal(directory.targetsOf('books')[0]?.record.incarnation, 'run-2');
+  assert.deepEqual(reported, [['targets/a', 'i-1']]);
+});
+
+test('a target that starts again after it has left is ready', () => {
+  const { directory } = createDirectory();
+  updateFromStore(directory);
+  directory.recordLeaving('targets/a', record);
+  updateFromStore(directory, { startedAt: record.startedAt + 1, version: 9 });
+  assert.equal(directory.targetsOf('books')[0]?.record.state, 'ready');
+});
--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -72,17 +72,19 @@
    * arrives late, must not make the target ready again.
    */
   restore(acknowledged: AcknowledgedLeaving): void {
-    this.acknowledged = acknowledged;
     const { targetId, startedAt, state } = acknowledged;
+    if (this.acknowledged?.state === 'gone' && this.isAcknowledged(acknowledged)) return;
+    this.acknowledged = acknowledged;
+    const known = this.state && this.isAcknowledged(this.state) ? this.state : undefined;
+    if (known?.state === 'gone' || known?.state === state) return;
     this.logger.log('info', 'leaving of the local target restored', {
       target: targetId,
       startedAt,
       state,
     });
-    const known = this.state;
-    if (!known || !this.isAcknowledged(known) || known.state !== 'ready') return;
+    if (!known) return;
     this.state = { ...known, state };
-    this.notify('ready');
+    this.notify(known.state);
   }
 
   private isAcknowledged({ targetId, startedAt }: TargetRun): boolean {
@@ -115,6 +117,14 @@
     return true;
   }
 
+  /** Marks a run of the target as draining although its heartbeats may not report it (yet). */
+  recordLeaving(run: TargetRun): void {
+    const known = this.state;
+    if (!known || !isSameRun(run, known) || known.state !== 'ready') return;
+    this.state = { ...known, state: 'draining' };
+    this.notify('ready');
+  }
+
   /** Marks the target as gone after it has deregistered. */
   leave(targetId: string): void {
     if (!this.state || this.state.targetId !== targetId) {
--- a/packages/core/src/directory/targetDirectory.ts
+++ b/packages/core/src/directory/targetDirectory.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '../runtime/clock.js';
 import type { Logger } from '../observability/logger.js';
+import { LeavingRuns } from './leavingRuns.js';
 import { parseTargetRecord } from './targetRecord.js';
 import type { TargetRecord } from './targetRecord.js';
+import type { TargetRun } from './targetRun.js';
 
 /** Prefix of the store keys of all target records. */
 export const TARGET_KEY_PREFIX = 'shallotcroft/targets/';
@@ -49,12 +51,23 @@
   /** Keys of records that may have expired. */
   private readonly expiredKeys = new Set<string>();
 
+  private readonly leavingRuns: LeavingRuns;
+
+  private readonly leavingListeners: ((key: string, run: TargetRun) => void)[] = [];
+
   private storeReachableSince: number | undefined;
 
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.leavingRuns = new LeavingRuns(clock);
+  }
+
+  /** Calls `listener` when a run of a target becomes known as leaving. */
+  onLeaving(listener: (key: string, run: TargetRun) => void): void {
+    this.leavingListeners.push(listener);
+  }
 
   /** Targets of a service, including draining ones. */
   targetsOf(service: string): KnownTarget[] {
@@ -91,6 +104,7 @@
       this.logger.log('warn', 'invalid target record ignored', { key });
       return;
     }
+    this.recordLeavingOf(key, record);
     const known = this.targetsByKey.get(key);
     // The store orders the incarnations of a daemon; its clock may have been set back in between.
     const replacesIncarnation =
@@ -104,11 +118,25 @@
 
   /** Adds or replaces a record unless a newer one is known. */
   update(key: string, record: TargetRecord): void {
+    this.recordLeavingOf(key, record);
     const known = this.targetsByKey.get(key);
     if (known && isNewer(known.record, record)) return;
     this.put(key, record, known?.storeRevision ?? 0);
   }
 
+  /**
+   * Records that a run of the target with the record `key` is leaving. It gets no further requests,
+   * even if a record reports it as ready: the daemon beside it may have lost what it knew.
+   */
+  recordLeaving(key: string, run: TargetRun): void {
+    if (!this.leavingRuns.add(key, run)) return;
+    const { targetId, startedAt } = run;
+    this.logger.log('info', 'target known as leaving', { key, target: targetId, startedAt });
+    const known = this.targetsByKey.get(key);
+    if (known) known.record = this.withKnownLeaving(key, known.record);
+    this.leavingListeners.forEach((listener) => listener(key, run));
+  }
+
   /** Records a response of a daemon, which keeps its record in use after the record has expired. */
   recordContact(key: string, incarnation: string): void {
     const known = this.targetsByKey.get(key);
@@ -120,6 +148,7 @@
    * treated as just expired until it is received again.
    */
   updateFromPeer(key: string, record: TargetRecord): void {
+    this.recordLeavingOf(key, record);
     const known = this.targetsByKey.get(key);
     if (known && isNewer(known.record, record)) return;
     const isSame = known !== undefined && !isNewer(record, known.record);
@@ -140,8 +169,19 @@
     }
   }
 
+  private recordLeavingOf(key: string, record: TargetRecord): void {
+    if (record.state === 'draining' || record.hasTargetLeft) this.recordLeaving(key, record);
+  }
+
+  /** The record with the state `draining` if it reports a run as ready that is leaving. */
+  private withKnownLeaving(key: string, record: TargetRecord): TargetRecord {
+    const isContradicted = record.state === 'ready' && this.leavingRuns.has(key, record);
+    return isContradicted ? { ...record, state: 'draining' } : record;
+  }
+
   /** Stores a valid record and returns its entry. */
-  private put(key: string, record: TargetRecord, storeRevision: number): KnownTarget {
+  private put(key: string, received: TargetRecord, storeRevision: number): KnownTarget {
+    const record = this.withKnownLeaving(key, received);
     const known = this.targetsByKey.get(key);
     if (known) this.removeFromService(known);
     const receivedAt = this.clock.now();
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -69,6 +69,8 @@
   message: string;
   /** Limit that the target names; absent without one. */
   rateLimit?: TargetRateLimit | undefined;
+  /** The run of the target if it is leaving. */
+  leavingRun?: TargetRun | undefined;
 }
 
 /** What each end of a connection sends once about itself, so that later messages can omit it. */
@@ -109,6 +111,8 @@
   service: string,
 ];
 
+type RunTuple = [targetId: string, startedAt: number];
+
 type RateLimitTuple = [targetId: string, startedAt: number, requestsPerSecond: number];
 
 type RequestTuple = [
@@ -151,8 +155,10 @@
   shedLevel: number,
   configurationVersion: number,
   message: string,
-  /** Absent without a limit. */
-  rateLimit?: RateLimitTuple,
+  /** Absent without a limit; null if only `leavingRun` is present. */
+  rateLimit?: RateLimitTuple | null,
+  /** Absent unless the target is leaving. */
+  leavingRun?: RunTuple,
 ];
 
 type ControlTuple = ['cancel', number] | ['ping'] | ['pong'];
@@ -161,13 +167,11 @@
   return value ? 1 : 0;
 }
 
-/** Elements at the end of a message: the limit, or none without one. */
-function encodeRateLimit(rateLimit: TargetRateLimit | undefined): [] | [RateLimitTuple] {
-  if (!rateLimit) return [];
-  return [[rateLimit.targetId, rateLimit.startedAt, rateLimit.requestsPerSecond]];
+function encodeRateLimit(rateLimit: TargetRateLimit): RateLimitTuple {
+  return [rateLimit.targetId, rateLimit.startedAt, rateLimit.requestsPerSecond];
 }
 
-function decodeRateLimit(tuple: RateLimitTuple | undefined): TargetRateLimit | undefined {
+function decodeRateLimit(tuple: RateLimitTuple | null | undefined): TargetRateLimit | undefined {
   if (!tuple) return undefined;
   const [targetId, startedAt, requestsPerSecond] = tuple;
   return { targetId, startedAt, requestsPerSecond };
@@ -192,6 +196,9 @@
 ): RequestTuple {
   const { attemptId, callerId, rootId, incarnation } = request;
   const prefix = `${local.incarnation}-`;
+  const limitElements: [] | [RateLimitTuple] = request.rateLimit
+    ? [encodeRateLimit(request.rateLimit)]
+    : [];
   return [
     'request',
     id,
@@ -209,10 +216,20 @@
     request.service,
     incarnation === remote?.incarnation ? '' : incarnation,
     request.configurationVersion,
-    ...encodeRateLimit(request.rateLimit),
+    ...limitElements,
   ];
 }
 
+/** Elements at the end of a response; none in most responses. */
+function encodeNotices({
+  rateLimit,
+  leavingRun,
+}: HopResponse): [] | [RateLimitTuple] | [RateLimitTuple | null, RunTuple] {
+  const limitTuple = rateLimit && encodeRateLimit(rateLimit);
+  if (leavingRun) return [limitTuple ?? null, [leavingRun.targetId, leavingRun.startedAt]];
+  return limitTuple ? [limitTuple] : [];
+}
+
 /** Encodes a response without its body. */
 export function encodeResponse(id: number, hopResponse: HopResponse): ResponseTuple {
   const { response, load } = hopResponse;
@@ -231,7 +248,7 @@
     hopResponse.shedLevel,
     hopResponse.configurationVersion,
     hopResponse.message,
-    ...encodeRateLimit(hopResponse.rateLimit),
+    ...encodeNotices(hopResponse),
   ];
 }
 
@@ -268,6 +285,7 @@
   const [, id, code, reached, status, headers, endsWithConnection, ...rest] = tuple;
   const [inFlight, waiting, limit, serviceMs, shedLevel, configurationVersion, message] = rest;
   const rateLimit = decodeRateLimit(rest[7]);
+  const leavingTuple = rest[8];
   return {
     kind: 'answer',
     id,
@@ -281,6 +299,9 @@
       incarnation: remote.incarnation,
       message,
       ...(rateLimit && { rateLimit }),
+      ...(leavingTuple && {
+        leavingRun: { targetId: leavingTuple[0], startedAt: leavingTuple[1] },
+      }),
     },
   };
 }
--- a/packages/core/src/forwarding/localTargetNotices.ts
+++ b/packages/core/src/forwarding/localTargetNotices.ts
@@ -68,6 +68,7 @@
   /** Records the notice of a response. */
   receive({ notice, run, requestId, sentAt }: ReceivedNotice): void {
     if (!isSameRun(run, this.run)) return;
+    if (notice.isLeaving) this.recordLeaving(run, requestId);
     if (notice.rateLimit === 'unreadable') {
       this.options.logger.log('warn', 'unreadable rate limit in a response of the local target', {
         target: run.targetId,
@@ -106,6 +107,16 @@
     this.sentRequests += 1;
   }
 
+  private recordLeaving(run: TargetRun, requestId: string): void {
+    const { target, logger } = this.options;
+    if (target.current()?.state !== 'ready') return;
+    logger.log('info', 'local target is leaving by its response', {
+      target: run.targetId,
+      request: requestId,
+    });
+    target.recordLeaving(run);
+  }
+
   private checkRun(): void {
     const run = this.options.target.current();
     if (run && isSameRun(run, this.run)) return;
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -91,6 +91,11 @@
     return { ...admission.load(), serviceMs };
   }
 
+  function leavingRun(): TargetRun | undefined {
+    const local = target.current();
+    return local && local.state !== 'ready' ? local : undefined;
+  }
+
   /** Failure of a request that this daemon cannot admit regardless of load, or undefined. */
   function rejectionOf(request: HopRequest): Result<never, Failure> | undefined {
     if (request.incarnation !== options.incarnation) {
@@ -269,6 +274,7 @@
       incarnation: options.incarnation,
       message: failure?.message ?? '',
       rateLimit: notices.rateLimit(),
+      leavingRun: leavingRun(),
     };
   }
 
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -179,6 +179,7 @@
     view.failedConnections = 0;
     view.drainingRecord = undefined;
     view.loadReport = { load: response.load, receivedAt: now, outstanding: view.outstanding };
+    if (response.leavingRun) this.options.directory.recordLeaving(target.key, response.leavingRun);
     view.rateLimitReport = rateLimitReportAfter(response, view.rateLimitReport, now);
     if (response.reached) {
       const refusal = response.code === ResultCode.notRunTargetRefused ? 1 : 0;
--- a/packages/daemon/src/forwardingComponents.ts
+++ b/packages/daemon/src/forwardingComponents.ts
@@ -66,11 +66,16 @@
 
 /** Sets the admission limits from what the local target reports, and announces its changes. */
 function subscribeToTarget({
+  state,
   target,
   notices,
+  directory,
   admission,
   fleetSync,
 }: ForwardingContext & { fleetSync: FleetSync }) {
+  directory.onLeaving((key, run) => {
+    if (key === state.ownKey) target.restore({ ...run, state: 'draining' });
+  });
   notices.onChange(() => admission.setRateLimit(notices.rateLimit()?.requestsPerSecond));
   target.onChange(() => {
     const local = target.current();
