fix(core): a refusal that a target repeats does not answer the next attempt of its request

What callers would see: 503 'not run' for a request that was running, which then ran again: seven times in the test, although it may run once.

Cause: responses are matched to requests by their id, and a request that its target refused is sent to that target again under the same id, usually on the connection that was used last. A second copy of the refusal there has the right id.

Evidence: faultyTargets.spec and repeatedRefusals.spec, red before ('the request ran 7 times'; 503 for 200).

A connection now keeps the ids of the requests that received an error on it, at most 100, and is not chosen for these; with more it is replaced. A copy then finds another request waiting, or none, and its connection is closed.

--- a/packages/core/src/http/endpointConnections.ts
+++ b/packages/core/src/http/endpointConnections.ts
@@ -29,10 +29,15 @@
   broken: number;
 }
 
+/** Largest number of ids that are kept for a connection; it is then replaced by a new one. */
+const MAX_ERROR_IDS = 100;
+
 /** Connection with a check whether its socket has failed. */
 interface TrackedClient {
   client: Client;
   hasFailed: () => boolean;
+  /** Ids of the requests that received an error on this connection. */
+  errorIds: Set<string>;
 }
 
 /**
@@ -62,7 +67,11 @@
     bodyTimeout: 0,
     keepAliveTimeout: bounds.maxIdleMs,
   });
-  return { client, hasFailed: () => currentSocket !== undefined && currentSocket === failedSocket };
+  return {
+    client,
+    hasFailed: () => currentSocket !== undefined && currentSocket === failedSocket,
+    errorIds: new Set(),
+  };
 }
 
 interface IdleConnection {
@@ -101,7 +110,7 @@
   /** Starts an exchange on an idle or new connection; queues it while none is available. */
   start(path: string, exchange: HttpExchange): void {
     this.lastUsedAt = this.clock.now();
-    const connection = this.takeIdle() ?? this.connect();
+    const connection = this.takeConnection(exchange.id);
     if (connection) {
       this.run(connection, path, exchange);
       return;
@@ -142,10 +151,11 @@
   }
 
   private release(connection: TrackedClient, exchange: HttpExchange, state: ConnectionState): void {
-    if (state === 'reusable') {
+    if (exchange.hasErrorStatus) connection.errorIds.add(exchange.id);
+    if (state === 'reusable' && connection.errorIds.size <= MAX_ERROR_IDS) {
       if (this.open.has(connection)) this.idle.push({ connection, since: this.clock.now() });
     } else {
-      this.count(state);
+      if (state !== 'reusable') this.count(state);
       this.drop(connection);
     }
     const sentAt = exchange.sentAt ?? 0;
@@ -154,7 +164,7 @@
     this.startNext();
   }
 
-  private count(state: ConnectionState): void {
+  private count(state: Exclude<ConnectionState, 'reusable'>): void {
     if (state === 'mismatchedResponse') this.counts.mismatchedResponses += 1;
     else if (state === 'unresponsive') this.counts.unresponsive += 1;
     else if (state === 'timedOut') this.counts.timedOut += 1;
@@ -169,20 +179,38 @@
         this.queued.shift();
         continue;
       }
-      const connection = this.takeIdle() ?? this.connect();
+      const connection = this.takeConnection(next.exchange.id);
       if (!connection) return;
       this.queued.shift();
       this.run(connection, next.path, next.exchange);
     }
   }
 
-  private takeIdle(): TrackedClient | undefined {
+  /** An idle or new connection for the request `id`; undefined if all connections are in use. */
+  private takeConnection(id: string): TrackedClient | undefined {
+    const idle = this.takeIdle(id);
+    if (idle) return idle;
+    if (this.open.size >= this.bounds.maxConnections) {
+      const unsuitable = this.idle.shift();
+      if (unsuitable) this.drop(unsuitable.connection);
+    }
+    return this.connect();
+  }
+
+  /**
+   * Takes a connection on which the request `id` has not failed before: a target may write that response
+   * once more, and its id would match the new attempt.
+   */
+  private takeIdle(id: string): TrackedClient | undefined {
     const usedSince = this.clock.now() - this.bounds.maxIdleMs;
-    for (;;) {
-      const entry = this.idle.pop();
-      if (!entry || entry.since >= usedSince) return entry?.connection;
-      this.drop(entry.connection);
+    for (let index = this.idle.length - 1; index >= 0; index--) {
+      const { connection, since } = this.idle[index] as IdleConnection;
+      const isExpired = since < usedSince;
+      if (isExpired) this.drop(connection);
+      if (isExpired || !connection.errorIds.has(id)) this.idle.splice(index, 1);
+      if (!isExpired && !connection.errorIds.has(id)) return connection;
     }
+    return undefined;
   }
 
   private connect(): TrackedClient | undefined {
--- a/packages/core/src/http/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -15,6 +15,7 @@
 // Data that has already arrived is read before a connection counts as unresponsive.
 const IDLE_GRACE_MS = 20;
 const FIRST_FINAL_STATUS = 200;
+const FIRST_ERROR_STATUS = 400;
 const statusesWithoutBody = new Set([204, 304]);
 /** Spares the HTTP library to derive a TLS server name from the host of each request. */
 const plainConnection = { servername: 'plain' };
@@ -89,7 +90,8 @@
   };
 
   constructor(
-    private readonly id: string,
+    /** Id of the request, which its response must echo. */
+    readonly id: string,
     private readonly request: CallRequest,
     private readonly bounds: SendBounds,
     private readonly settings: ExchangeSettings,
@@ -104,6 +106,11 @@
     bounds.signal.addEventListener('abort', this.cancel, { once: true });
   }
 
+  /** True if the response has a status of an error; the request may then be sent again. */
+  get hasErrorStatus(): boolean {
+    return this.status >= FIRST_ERROR_STATUS;
+  }
+
   /** Sends the request on `connection`; `onEnd` is called once, after the exchange has ended. */
   start(
     connection: Dispatcher,
