fix(core): a stopping daemon does not take requests that it would cut off

What callers would see: in a planned stop, requests that came late were passed on and ended without an answer of the target, also those that may run only once.

Cause: root requests were taken for 2.9 s whatever the stop timeout was, and child calls to the very end, without regard to how long they take.

Evidence: plannedStop.spec, red before: with a stop timeout of 3 s and responses of 600 ms all eight requests in flight at the end (502), with 4 s a child call. With 6 s and 100 ms or 2 s none was cut before either.

--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -21,6 +21,7 @@
 import type { HopResponse, HopPeer, HopRequest } from './hopMessages.js';
 import type { HopSender } from './hopSender.js';
 import { RequestProgress } from './requestProgress.js';
+import { ResponseTimes } from './responseTimes.js';
 import type { AttemptResult } from './requestProgress.js';
 import type { CallTrees } from './callTrees.js';
 import { retryAfterMs } from './retryAfter.js';
@@ -49,6 +50,14 @@
 const MIN_ATTEMPT_MS = 20;
 const MS_PER_S = 1000;
 
+/** When a stopping daemon stops taking requests, on the monotonic clock, in milliseconds. */
+export interface StopWindow {
+  /** Root requests are taken until then. */
+  rootsUntil: number;
+  /** Requests that are not answered by then are cut off. */
+  endsAt: number;
+}
+
 /** Forwards requests of callers, and of the target on this host, to a target. */
 export interface RequestGateway {
   /** Returns the complete response to a request. Never rejects. */
@@ -73,8 +82,8 @@
   retryBudget: RetryBudget;
   /** This daemon, as it identifies itself to other daemons. */
   localPeer: HopPeer;
-  /** True once new call trees are rejected; child calls of active trees are still forwarded. */
-  isClosing: () => boolean;
+  /** Set while the daemon stops. */
+  stopWindow: () => StopWindow | undefined;
   /** Called when another daemon uses a newer configuration version. */
   onPeerVersion: (version: number, target: KnownTarget) => void;
 }
@@ -84,6 +93,7 @@
   const { clock, placement, levels, sender, routing, logger } = options;
   let active = 0;
   let lastAttemptNumber = 0;
+  const responseTimes = new ResponseTimes();
 
   function failureResponse(
     failure: Failure,
@@ -259,6 +269,11 @@
     }
   }
 
+  /** Time after which the caller of a request that was not run should retry it, in milliseconds. */
+  function waitMsOf({ deadlineAt, route }: RequestProgress): number {
+    return retryAfterMs(deadlineAt - clock.now(), route.rank, options.random);
+  }
+
   /** Response to the caller; failures that are certainly not run carry a `retry-after` header. */
   function responseOf(progress: RequestProgress, result: AttemptResult): CallResponse {
     if (result.response) return result.response;
@@ -267,9 +282,7 @@
       const status = result.code === ResultCode.unknownTimeout ? 504 : 502;
       return failureResponse(failure, undefined, status);
     }
-    const remainingMs = progress.deadlineAt - clock.now();
-    const waitMs = retryAfterMs(remainingMs, progress.route.rank, options.random);
-    return failureResponse(failure, waitMs, 503);
+    return failureResponse(failure, waitMsOf(progress), 503);
   }
 
   function logResult(progress: RequestProgress, result: AttemptResult, status: number): void {
@@ -295,6 +308,7 @@
     if (progress.isChildCall) {
       options.failures.record(route.name, progress.importance, isNotRun(result.code));
     }
+    if (result.response) responseTimes.record(route.name, clock.now() - arrivedAt);
     const response = responseOf(progress, result);
     options.histograms.record({
       importance: progress.importance,
@@ -322,6 +336,17 @@
     return response;
   }
 
+  /** True if a stopping daemon is expected to answer a request before it ends. */
+  function isTakenWhileStopping(
+    { rootsUntil, endsAt }: StopWindow,
+    { route, isChildCall, deadlineAt }: RequestProgress,
+  ): boolean {
+    const now = clock.now();
+    if (!isChildCall && now >= rootsUntil) return false;
+    const highMs = responseTimes.highOf(route.name) ?? Infinity;
+    return Math.min(now + highMs, deadlineAt) <= endsAt;
+  }
+
   async function admit(request: ForwardedRequest, signal: AbortSignal): Promise<CallResponse> {
     if (!routing.current()) {
       const failure = createFailure(ResultCode.notRunNoTarget, 'no configuration is known yet');
@@ -342,14 +367,16 @@
       return reject(request, createFailure(ResultCode.notRunNoTarget, message));
     }
     const tree = options.trees.recordChildCall(request.parentId, route.name);
-    if (!tree && options.isClosing()) {
+    const progress = new RequestProgress(request, route, service, signal, clock.now(), tree);
+    const window = options.stopWindow();
+    if (window && !isTakenWhileStopping(window, progress)) {
       const failure = createFailure(
         ResultCode.notRunDraining,
         'the daemon is stopping; retry the request',
       );
       return reject(request, failure, CLOSING_RETRY_AFTER_MS);
     }
-    return forwardToTarget(new RequestProgress(request, route, service, signal, clock.now(), tree));
+    return forwardToTarget(progress);
   }
 
   return {
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -17,11 +17,10 @@
 import type { HopResponse, HopRequest, TargetLoad } from './hopMessages.js';
 import type { LocalTargetNotices } from './localTargetNotices.js';
 import type { CallTrees } from './callTrees.js';
+import { ResponseTimes } from './responseTimes.js';
 
 /** Weight of the newest sample in the moving average of the target's response time. */
 const SERVICE_TIME_SAMPLE_WEIGHT = 0.05;
-/** Largest number of routes whose mean response time is kept. */
-const MAX_TRACKED_ROUTES = 2000;
 /** Least time that a request must have left to begin, as a share of its route's mean response time. */
 const MIN_REMAINING_SHARE = 0.5;
 /** Mean response time that is assumed before the first sample, in milliseconds. */
@@ -84,8 +83,7 @@
   const { clock, admission, headerCodec, attempts, target, notices, logger } = options;
   let active = 0;
   let serviceMs = INITIAL_SERVICE_TIME_MS;
-  /** Mean response time of the target by route, in milliseconds. */
-  const routeServiceMs = new Map<string, number>();
+  const responseTimes = new ResponseTimes();
 
   function load(): TargetLoad {
     return { ...admission.load(), serviceMs };
@@ -186,10 +184,7 @@
     if (sent.isErr()) return { result: sent, reached };
     const elapsedMs = clock.now() - startedAt;
     serviceMs += SERVICE_TIME_SAMPLE_WEIGHT * (elapsedMs - serviceMs);
-    // Bounds the map: routes that were removed from the configuration stay in it.
-    if (routeServiceMs.size > MAX_TRACKED_ROUTES) routeServiceMs.clear();
-    const mean = routeServiceMs.get(request.route) ?? elapsedMs;
-    routeServiceMs.set(request.route, mean + SERVICE_TIME_SAMPLE_WEIGHT * (elapsedMs - mean));
+    responseTimes.record(request.route, elapsedMs);
     recordNotice(request, local, startedAt, sent.value);
     return { result: resultOfResponse(sent.value), reached };
   }
@@ -212,7 +207,7 @@
       deadlineAt,
       signal,
       isChildCall: request.isChildCall,
-      minRemainingMs: MIN_REMAINING_SHARE * (routeServiceMs.get(request.route) ?? 0),
+      minRemainingMs: MIN_REMAINING_SHARE * (responseTimes.meanOf(request.route) ?? 0),
       downstreamShedLevel: () =>
         request.isChildCall ? 0 : options.levels.downstreamLevel(request.route),
     });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -258,7 +258,7 @@
 export { VOID_METHOD, createHopSender } from './forwarding/hopSender.js';
 export type { HopSender, VoidParams } from './forwarding/hopSender.js';
 export { createRequestGateway } from './forwarding/requestGateway.js';
-export type { RequestGateway } from './forwarding/requestGateway.js';
+export type { RequestGateway, StopWindow } from './forwarding/requestGateway.js';
 export { retryAfterMs } from './forwarding/retryAfter.js';
 export { CallTrees } from './forwarding/callTrees.js';
 export { ChildCallFailures } from './placement/childCallFailures.js';
--- a/packages/daemon/src/forwardingComponents.ts
+++ b/packages/daemon/src/forwardingComponents.ts
@@ -57,7 +57,7 @@
     logger,
     sender: createHopSender({ clock, client: hopClient, peers, guard, ownKey: state.ownKey }),
     localPeer: localHopPeer,
-    isClosing: () => state.isClosing,
+    stopWindow: () => state.stopWindow,
     onPeerVersion: (_version, { record }: KnownTarget) => {
       fleetSync.pullFromPeer(record.address, record.peerPort);
     },
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -25,6 +25,7 @@
   HopPeer,
   Logger,
   RandomSource,
+  StopWindow,
 } from '@shallotcroft/core';
 import type { FleetPlatform } from './fleetPlatform.js';
 import type { ForwardingSettings } from './forwardingSettings.js';
@@ -56,8 +57,8 @@
   readonly ownKey: string;
   /** True once the daemon rejects requests for its target. */
   isStopping: boolean;
-  /** True once the daemon also rejects new root requests; child calls of known trees continue. */
-  isClosing: boolean;
+  /** Set while the daemon stops. */
+  stopWindow: StopWindow | undefined;
   /** Whether the store is reachable, as last reported by the platform adapter. */
   isStoreReachable: boolean;
   /** Retries that the whole fleet may make in addition to the share of its requests. */
@@ -114,7 +115,7 @@
       incarnation,
       ownKey: `${TARGET_KEY_PREFIX}${settings.host}`,
       isStopping: false,
-      isClosing: false,
+      stopWindow: undefined,
       isStoreReachable: false,
       spareRetries: retryBounds.spare,
     },
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -18,10 +18,7 @@
 const EXIT_RESERVE_MS = 900;
 /** Longest wait for connections to close, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 250;
-/**
- * Time for which a stopping daemon still accepts new root requests, in milliseconds. Later ones are
- * rejected, so that the requests in flight can complete before the stop timeout.
- */
+/** Time for which a stopping daemon still accepts new root requests, in milliseconds. */
 const DRAIN_ACCEPT_MS = 2900;
 /** Interval at which a stopping daemon checks for requests in flight, in milliseconds. */
 const STOP_POLL_MS = 25;
@@ -51,21 +48,17 @@
   }
 }
 
-/**
- * Waits until no request is in flight and the shortest drain is over, at most until the stop
- * timeout less the reserve for exiting.
- */
+/** Waits until no request is in flight and the shortest drain is over, at most until `endsAt`. */
 async function drainRequests(
   clock: Clock,
-  stopTimeoutSeconds: number,
+  endsAt: number,
   { gateway, guard }: ForwardingComponents,
 ): Promise<void> {
-  const startedAt = clock.now();
-  const maxDrainMs = stopTimeoutSeconds * MS_PER_S - EXIT_RESERVE_MS;
+  const minEndsAt = clock.now() + MIN_DRAIN_MS;
   for (;;) {
-    const elapsedMs = clock.now() - startedAt;
+    const now = clock.now();
     const isBusy = gateway.active() + guard.active() > 0;
-    if (elapsedMs >= maxDrainMs || (!isBusy && elapsedMs >= MIN_DRAIN_MS)) return;
+    if (now >= endsAt || (!isBusy && now >= minEndsAt)) return;
     await clock.sleep(STOP_POLL_MS);
   }
 }
@@ -109,11 +102,10 @@
     state.isStopping = true;
     logger.log('info', 'daemon stopping', { requests: gateway.active(), hops: guard.active() });
     fleetSync.announce();
-    const acceptTimer = options.clock.startTimer(DRAIN_ACCEPT_MS, () => {
-      state.isClosing = true;
-    });
-    await drainRequests(options.clock, settings.stopTimeoutSeconds, components);
-    acceptTimer.cancel();
+    const now = options.clock.now();
+    const endsAt = now + settings.stopTimeoutSeconds * MS_PER_S - EXIT_RESERVE_MS;
+    state.stopWindow = { rootsUntil: now + DRAIN_ACCEPT_MS, endsAt };
+    await drainRequests(options.clock, endsAt, components);
     watches.forEach((watch) => watch.close());
     await closeAll(options, components, listeners, supervisor);
     logger.log('info', 'daemon stopped', { requests: gateway.active(), hops: guard.active() });
