fix(core): a request that a stopping daemon rejects is not to be retried at once

What callers saw: 503 with a retry-after of 50 ms, then the same daemon again, which rejected the retry too; most callers retry once.

Cause: the value was meant for callers that reach another daemon. On the users' platform the callers of a host reach only its own.

--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -44,8 +44,6 @@
 };
 /** `retry-after` while no configuration is known, in milliseconds. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
-/** `retry-after` of a closing daemon, in milliseconds; another daemon takes the retry. */
-const CLOSING_RETRY_AFTER_MS = 50;
 /** Least time until the deadline for another attempt, in milliseconds. */
 const MIN_ATTEMPT_MS = 20;
 const MS_PER_S = 1000;
@@ -374,7 +372,8 @@
         ResultCode.notRunDraining,
         'the daemon is stopping; retry the request',
       );
-      return reject(request, failure, CLOSING_RETRY_AFTER_MS);
+      // Callers of this host reach no other daemon: they return when this one may have restarted.
+      return reject(request, failure, waitMsOf(progress));
     }
     return forwardToTarget(progress);
   }
