--- a/scripts/src/__tests__/platformNames.spec.ts
+++ b/scripts/src/__tests__/platformNames.spec.ts
@@ -18,6 +18,8 @@
   'expected-instance',
   'response-signature',
   'not-executed',
+  'server-limit',
+  'server-leaving',
   'heartbeataddress',
   'coldremainings',
   'serviceinfo',
