--- a/packages/core/src/__tests__/targetPlacement.spec.ts
+++ b/packages/core/src/__tests__/targetPlacement.spec.ts
@@ -170,3 +170,18 @@
   placement.recordResponse(target, restarted);
   assert.equal(placement.rateLimitOfFormerIncarnation(target), undefined);
 });
+
+test('a rate limit is kept while the record of its target is missing', async () => {
+  const { clock, directory, placement } = createPlacement();
+  directory.setStoreReachable(true);
+  const target = directory.get('local-1') as KnownTarget;
+  const rateLimit = limitOf(5);
+  placement.recordResponse(target, { ...responseOf(idle), incarnation: 'run', rateLimit });
+  directory.remove('local-1');
+  await clock.advance(20_000);
+  assert.equal(directory.targetsOf('books').length, 3);
+  placement.sweep();
+  directory.update('local-1', { ...target.record, incarnation: 'run-2' });
+  const restarted = directory.get('local-1') as KnownTarget;
+  assert.deepEqual(placement.rateLimitOfFormerIncarnation(restarted), rateLimit);
+});
--- a/packages/core/src/placement/targetPlacement.ts
+++ b/packages/core/src/placement/targetPlacement.ts
@@ -38,6 +38,8 @@
  * this daemon would not learn that the limit no longer applies.
  */
 const MAX_RATE_LIMIT_AGE_MS = 3000;
+/** Time for which the rate limit of a target is kept while its record is missing, in milliseconds. */
+const RATE_LIMIT_RETENTION_MS = 60_000;
 const MS_PER_S = 1000;
 
 /** Load that a target's daemon reported with its last response. */
@@ -227,8 +229,10 @@
   /** Removes the state of targets that are no longer in the directory. */
   sweep(): void {
     const known = new Set(this.options.directory.all().map(({ key }) => key));
+    const limitedSince = this.options.clock.now() - RATE_LIMIT_RETENTION_MS;
     this.views.forEach((view, key) => {
-      if (!known.has(key) && view.outstanding === 0) this.views.delete(key);
+      const isLimited = (view.rateLimitReport?.receivedAt ?? -Infinity) >= limitedSince;
+      if (!known.has(key) && view.outstanding === 0 && !isLimited) this.views.delete(key);
     });
   }
 
