--- a/review/standIns/deployment.ts
+++ b/review/standIns/deployment.ts
@@ -11,6 +11,9 @@
 const START_MS = 500;
 const END_MS = 200;
 const LAST_OCTET = 250;
+const EXIT_HELD = 0;
+const EXIT_BROKEN = 1;
+const EXIT_NOT_RUN = 2;
 
 /** A route of the configuration, to one service. */
 export interface RouteEntry {
@@ -149,18 +152,25 @@
     breaches.forEach((breach) => deployment.record('BREACH', breach));
     deployment.record('result', { hasTrouble, breaches: breaches.length });
     process.stdout.write(`breaches of the rule: ${breaches.length}\n`);
-    return breaches.length > 0 ? 1 : 0;
+    return breaches.length > 0 ? EXIT_BROKEN : EXIT_HELD;
   } catch (error) {
     const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
     deployment.record('the case could not run', { reason });
     process.stderr.write(`${reason}\n`);
-    return 2;
+    return EXIT_NOT_RUN;
   }
 }
 
 /** Plays case `number` and exits: 1 if its rule was broken, 0 if it held, 2 if it could not run. */
 export async function runCase(number: number, play: Play): Promise<never> {
-  const deployment = new Deployment();
+  let deployment: Deployment | undefined;
+  const fail = (error: unknown): void => {
+    process.stderr.write(`the case could not run: ${String(error)}\n`);
+    Promise.resolve(deployment?.stop()).finally(() => process.exit(EXIT_NOT_RUN));
+  };
+  process.on('uncaughtException', fail);
+  process.on('unhandledRejection', fail);
+  deployment = new Deployment();
   const exitCode = await playCase(deployment, play);
   await deployment.stop();
   deployment.writeRecord(path.join(ROOT, 'review', String(number), 'record.txt'));
