test(review): each case reads TROUBLE itself

The shared stand-in read it, so the folders of the cases did not show it. What the cases do with the disruption and without it is unchanged.

--- a/review/1/run.ts
+++ b/review/1/run.ts
@@ -4,6 +4,9 @@
 import type { Deployment } from '../standIns/deployment.js';
 import { sleep } from '../standIns/machine.js';
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const PLAY_MS = 20_000;
 const CLIENTS = 8;
 const PAUSE_MS = 40;
@@ -12,7 +15,7 @@
 /** One of two upstreams breaks off 2 in 100 of its answers: share .5, x .02. */
 const BROKEN_OFF_EACH = 50;
 
-async function play(deployment: Deployment, hasTrouble: boolean): Promise<object[]> {
+async function play(deployment: Deployment): Promise<object[]> {
   const notes = await deployment.addMachine('notes-1', 'circles');
   const otherNotes = await deployment.addMachine('notes-2', 'circles');
   // The answers of both upstreams have no length and end with their connection.
--- a/review/2/run.ts
+++ b/review/2/run.ts
@@ -4,6 +4,9 @@
 import type { Deployment } from '../standIns/deployment.js';
 import { sleep } from '../standIns/machine.js';
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const PLAY_MS = 30_000;
 const KEPT_CONNECTIONS = 40;
 /** Most of the requests on kept connections are with their upstream at any time. */
@@ -17,7 +20,7 @@
 const SEARCH_INTERVAL_MS = 60;
 const END_MS = 300;
 
-async function play(deployment: Deployment, hasTrouble: boolean): Promise<object[]> {
+async function play(deployment: Deployment): Promise<object[]> {
   const ducts = await deployment.addMachine('ducts-1', 'ductmap');
   const otherDucts = await deployment.addMachine('ducts-2', 'ductmap');
   const payments = await deployment.addMachine('payments-1', 'payments');
--- a/review/4/run.ts
+++ b/review/4/run.ts
@@ -4,6 +4,9 @@
 import type { Deployment } from '../standIns/deployment.js';
 import { sleep } from '../standIns/machine.js';
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const PLAY_MS = 20_000;
 const KEPT_CONNECTIONS = 16;
 const DEADLINE_MS = 5000;
@@ -18,7 +21,7 @@
 const NOTES_INTERVAL_MS = 60;
 const READINESS_INTERVAL_MS = 1000;
 
-async function play(deployment: Deployment, hasTrouble: boolean): Promise<object[]> {
+async function play(deployment: Deployment): Promise<object[]> {
   const notes = await deployment.addMachine('notes-1', 'circles');
   const otherNotes = await deployment.addMachine('notes-2', 'circles');
   const sets = await deployment.addMachine('sets-1', 'reservations');
--- a/review/standIns/deployment.ts
+++ b/review/standIns/deployment.ts
@@ -25,7 +25,7 @@
 }
 
 /** What a case does; resolves with the breaches of its rule. */
-export type Play = (deployment: Deployment, hasTrouble: boolean) => Promise<object[]>;
+export type Play = (deployment: Deployment) => Promise<object[]>;
 
 function randomOctet(): number {
   return 1 + Math.floor(Math.random() * LAST_OCTET);
@@ -145,12 +145,11 @@
 }
 
 async function playCase(deployment: Deployment, play: Play): Promise<number> {
-  const hasTrouble = process.env.TROUBLE !== '0';
   try {
     await deployment.start();
-    const breaches = await play(deployment, hasTrouble);
+    const breaches = await play(deployment);
     breaches.forEach((breach) => deployment.record('BREACH', breach));
-    deployment.record('result', { hasTrouble, breaches: breaches.length });
+    deployment.record('result', { trouble: process.env.TROUBLE, breaches: breaches.length });
     process.stdout.write(`breaches of the rule: ${breaches.length}\n`);
     return breaches.length > 0 ? EXIT_BROKEN : EXIT_HELD;
   } catch (error) {
