fix(core): received pieces cost memory by their bytes, not by their number

Their limits counted bytes of content; a piece of one byte costs 115 to 219 bytes and could also keep the 64 KiB with which it was received.

Why it works: ByteCollector copies pieces into blocks, so what is held follows the bytes that the limits count. A message of one piece is not copied, and one of known length gets one block.

--- a/packages/core/src/http/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'ts-results-es';
 import type { Dispatcher } from 'undici';
 import type { CallResponse, CallRequest, SendBounds } from '../calls/call.js';
+import { ByteCollector } from '../runtime/byteCollector.js';
 import type { Clock, Timer } from '../runtime/clock.js';
 import type { ByteBudget } from './byteBudget.js';
 import type { ByteShare } from './byteShare.js';
@@ -68,11 +69,9 @@
 
   private hasConnectionFailed: (() => boolean) | undefined;
 
-  private receivedBytes = 0;
-
   private readonly byteShare: ByteShare;
 
-  private chunks: Buffer[] = [];
+  private body = new ByteCollector();
 
   private timer: Timer;
 
@@ -167,13 +166,13 @@
     this.headers = endToEndHeaders(headers);
   }
 
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(_controller: Dispatcher.DispatchController, piece: Buffer): void {
     this.recordReceived();
     if (this.hasEnded) return;
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > this.bounds.maxResponseBytes) this.failTooLarge();
-    else if (!this.byteShare.add(chunk.length)) this.failOverBudget();
-    else this.chunks.push(chunk);
+    const receivedBytes = this.body.length + piece.length;
+    if (receivedBytes > this.bounds.maxResponseBytes) this.failTooLarge();
+    else if (!this.byteShare.add(piece.length)) this.failOverBudget(receivedBytes);
+    else this.body.append(piece);
   }
 
   onResponseEnd(): void {
@@ -182,12 +181,11 @@
       this.failTruncated('the connection was reset before the response was complete');
       return;
     }
-    if (this.expectedBytes !== undefined && this.expectedBytes !== this.receivedBytes) {
-      this.failTruncated(`received ${this.receivedBytes} of ${this.expectedBytes} bytes`);
+    if (this.expectedBytes !== undefined && this.expectedBytes !== this.body.length) {
+      this.failTruncated(`received ${this.body.length} of ${this.expectedBytes} bytes`);
       return;
     }
-    const { chunks } = this;
-    const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+    const body = this.body.take();
     const response: CallResponse = { status: this.status, headers: this.headers, body };
     if (!this.isCloseDelimited) this.end(Ok(response), 'reusable');
     else this.end(Ok({ ...response, endsWithConnection: true }), 'broken');
@@ -212,7 +210,7 @@
     this.hasEnded = true;
     this.timer.cancel();
     this.bounds.signal.removeEventListener('abort', this.cancel);
-    this.chunks = [];
+    this.body.clear();
     this.byteShare.close();
     this.resolve(result);
     this.onEnd?.(state);
@@ -233,6 +231,7 @@
     if (length !== undefined) {
       this.expectedBytes = Number(length);
       if (this.expectedBytes > this.bounds.maxResponseBytes) this.failTooLarge();
+      else this.body = new ByteCollector(this.expectedBytes);
       return;
     }
     const isChunked = headers['transfer-encoding'] === 'chunked';
@@ -247,8 +246,8 @@
     this.fail(ResultCode.unknownAnswerTooLarge, message, 'broken');
   }
 
-  private failOverBudget(): void {
-    const message = `all responses together hold too many bytes; this one has ${this.receivedBytes}`;
+  private failOverBudget(receivedBytes: number): void {
+    const message = `all responses together hold too many bytes; this one has ${receivedBytes}`;
     this.fail(ResultCode.unknownAnswerTooLarge, message, 'broken');
   }
 
--- a/packages/core/src/http/httpServer.ts
+++ b/packages/core/src/http/httpServer.ts
@@ -7,6 +7,7 @@
 import { failureResponse } from '../calls/callResponse.js';
 import { CallHeader } from '../calls/callHeaders.js';
 import { ArrivalBatch } from '../runtime/arrivalBatch.js';
+import { ByteCollector } from '../runtime/byteCollector.js';
 import { systemClock } from '../runtime/clock.js';
 import type { Clock } from '../runtime/clock.js';
 import { createFailure } from '../runtime/failure.js';
@@ -62,19 +63,24 @@
   }
 }
 
+/** Length that the head of a request announces, at most `limitBytes`; 0 if it is unknown. */
+function expectedBytesOf({ headers }: IncomingMessage, limitBytes: number): number {
+  return Math.min(Number(headers['content-length'] ?? 0), limitBytes);
+}
+
 /** Reads a request body; rejects when it is incomplete or larger than `limitBytes`. */
 export function readBody(stream: IncomingMessage, limitBytes: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const collector = new ByteCollector(expectedBytesOf(stream, limitBytes));
     let size = 0;
-    stream.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limitBytes) chunks.push(chunk);
-      else chunks.length = 0;
+    stream.on('data', (piece: Buffer) => {
+      size += piece.length;
+      if (size <= limitBytes) collector.append(piece);
+      else collector.clear();
     });
     stream.on('end', () => {
       if (size > limitBytes) reject(new BodyTooLargeError(limitBytes));
-      else resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+      else resolve(collector.take());
     });
     stream.on('error', reject);
     stream.on('aborted', () =>
--- a/packages/core/src/http/readText.ts
+++ b/packages/core/src/http/readText.ts
@@ -1,11 +1,13 @@
+import { ByteCollector } from '../runtime/byteCollector.js';
+
 /** Reads a response body; rejects when it is longer than `limitBytes`, which closes its connection. */
 export async function readText(body: AsyncIterable<Buffer>, limitBytes: number): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of body) {
-    size += chunk.length;
-    if (size > limitBytes) throw new Error(`the response is longer than ${limitBytes} bytes`);
-    chunks.push(chunk);
+  const collector = new ByteCollector();
+  for await (const piece of body) {
+    if (collector.length + piece.length > limitBytes) {
+      throw new Error(`the response is longer than ${limitBytes} bytes`);
+    }
+    collector.append(piece);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return collector.take().toString('utf8');
 }
