fix(core): a response that is reset with its last bytes is not taken as complete

Cause: a response without a length ends with its connection, and a clean end was taken as proof. If the reset has arrived by the time the last bytes are read, the event loop of Node.js reports a partial read with a hang-up as the end of the data and never reads the error, so no 'error' event follows and the connection looked clean.

Why it works: the socket of a connection that was reset has no remote address any more, while one that the peer has closed still has it until Node.js closes its own side. This is read at the end of the data, before that close. It is a public property and needs no byte to be sent.

--- a/packages/core/src/__tests__/responseEnds.spec.ts
+++ b/packages/core/src/__tests__/responseEnds.spec.ts
@@ -9,7 +9,7 @@
 import { HttpCallTransport } from '../http/httpCallTransport.js';
 import { ResultCode } from '../runtime/resultCode.js';
 
-type ConnectionEnd = 'close' | 'reset' | 'stay';
+type ConnectionEnd = 'close' | 'reset' | 'resetAtOnce' | 'stay';
 
 const RESET_DELAY_MS = 20;
 
@@ -26,7 +26,11 @@
 ): Promise<Result<CallResponse, Failure>> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => socket.write(bytes, () => endConnection(socket, end)));
+    socket.once('data', () => {
+      socket.write(bytes, () => endConnection(socket, end));
+      // The reset has arrived when the transport reads the bytes.
+      if (end === 'resetAtOnce') socket.resetAndDestroy();
+    });
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -54,12 +58,15 @@
 const chunkedClose = `${head}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
 
 test('a response without a length is complete when its connection is closed cleanly', async () => {
-  const sent = await responseTo(`${head}\r\nhello`, 'close');
-  assert.equal(sent.unwrap().body.toString(), 'hello');
+  for (let sent = 0; sent < 50; sent++) {
+    const response = await responseTo(`${head}\r\nhello`, 'close');
+    assert.equal(response.unwrap().body.toString(), 'hello');
+  }
 });
 
 const truncated: [string, string, ConnectionEnd][] = [
   ['without a length, reset', `${head}\r\nhello`, 'reset'],
+  ['without a length, reset with its last bytes', `${head}\r\nhello`, 'resetAtOnce'],
   ['chunked, closed within a chunk', `${chunkedClose}5\r\nhel`, 'close'],
   ['chunked, reset within a chunk', `${chunkedClose}5\r\nhel`, 'reset'],
   ['chunked, closed before the last chunk', `${chunkedClose}5\r\nhello\r\n`, 'close'],
--- a/packages/core/src/http/endpointConnections.ts
+++ b/packages/core/src/http/endpointConnections.ts
@@ -42,7 +42,9 @@
 
 /**
  * Creates a client that tracks whether its socket has failed: undici reports a response of unknown
- * length as complete when a connection reset truncates it.
+ * length as complete when a connection reset truncates it. If the reset has arrived when the last
+ * bytes are read, Node.js reports the end of the data without an error, but the socket then has no
+ * remote address: only a connection that the peer has closed cleanly still has one at its end.
  */
 function createTrackedClient(to: Endpoint, bounds: ConnectionBounds): TrackedClient {
   const connector = buildConnector({ timeout: bounds.connectTimeoutMs });
@@ -57,8 +59,13 @@
           return;
         }
         currentSocket = socket;
-        socket.prependListener('error', () => {
+        const recordFailure = (): void => {
           failedSocket = socket;
+        };
+        socket.prependListener('error', recordFailure);
+        // Runs before Node.js closes its own side, after which there is no remote address either.
+        socket.prependListener('end', () => {
+          if (socket.remoteAddress === undefined) recordFailure();
         });
         callback(null, socket);
       });
