fix(core): a response without an end is ended though its content stays small

Cause: the HTTP library limits a head by the characters of names and values, so spaces before a value, a reason phrase, interim responses, extensions of chunks and trailers could go on until the deadline. A header that is received with 64 KiB of spaces also keeps these.

Why it works: the bytes received on the socket are compared with the bytes of the body. Framing may take 256 KiB and seven bytes for each byte of the body; a chunk of one byte takes five.

--- a/packages/core/src/__tests__/endlessResponses.spec.ts
+++ b/packages/core/src/__tests__/endlessResponses.spec.ts
@@ -15,10 +15,10 @@
 
 const MB = 1024 * 1024;
 const head = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n';
-const filler = Buffer.alloc(256 * 1024, 'x');
+const defaultFiller = Buffer.alloc(256 * 1024, 'x');
 
 /** Writes `start` and then `filler` again and again until the peer closes the connection. */
-function writeForever(socket: Socket, start: string): void {
+function writeForever(socket: Socket, start: string, filler: Buffer = defaultFiller): void {
   socket.write(start);
   const fill = (): void => {
     while (!socket.destroyed && socket.write(filler));
@@ -31,13 +31,14 @@
 async function endlessResponses(
   start: string,
   count: number,
+  filler?: Buffer,
 ): Promise<{ sent: Result<CallResponse, Failure>[]; peakBytes: number; openSockets: number }> {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
-    socket.once('data', () => writeForever(socket, start));
+    socket.once('data', () => writeForever(socket, start, filler));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -95,6 +96,38 @@
   });
 });
 
+const framings: [string, string, string][] = [
+  ['spaces before the value of a header', `${head}X: `, ' '.repeat(64 * 1024)],
+  ['headers with much space', head, `a:${' '.repeat(64 * 1024)}\r\n`],
+  ['a reason phrase', 'HTTP/1.1 200 ', 'O'.repeat(64 * 1024)],
+  ['interim responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(1024)],
+];
+
+framings.forEach(([name, start, filler]) => {
+  test(`an endless head is ended though its content stays small: ${name}`, async () => {
+    const { sent } = await endlessResponses(start, 2, Buffer.from(filler));
+    sent.forEach((result) => {
+      assert.equal(result.unwrapErr().code, ResultCode.unknownConnectionLost);
+    });
+  });
+});
+
+const bodyFramings: [string, string][] = [
+  ['an extension of a chunk', `1;${'x'.repeat(64 * 1024)}`],
+  ['trailers with much space', `0\r\na:${' '.repeat(64 * 1024)}`],
+];
+
+bodyFramings.forEach(([name, start]) => {
+  test(`an endless body is ended though its content stays small: ${name}`, async () => {
+    const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n${start}`;
+    const filler = Buffer.alloc(64 * 1024, name.startsWith('trailers') ? ' ' : 'x');
+    const { sent } = await endlessResponses(chunked, 2, filler);
+    sent.forEach((result) => {
+      assert.equal(result.unwrapErr().code, ResultCode.unknownAnswerTruncated);
+    });
+  });
+});
+
 test('an endless response of another daemon to a control message is ended', async () => {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
--- a/packages/core/src/http/endpointConnections.ts
+++ b/packages/core/src/http/endpointConnections.ts
@@ -2,7 +2,7 @@
 import { Client, buildConnector } from 'undici';
 import type { Endpoint } from '../calls/call.js';
 import type { Clock } from '../runtime/clock.js';
-import type { ConnectionState, HttpExchange } from './httpExchange.js';
+import type { ConnectionState, ExchangeConnection, HttpExchange } from './httpExchange.js';
 import { ResultCode } from '../runtime/resultCode.js';
 
 /** Limits of the connections to one endpoint. */
@@ -32,10 +32,11 @@
 /** Largest number of ids that are kept for a connection; it is then replaced by a new one. */
 const MAX_ERROR_IDS = 100;
 
-/** Connection with a check whether its socket has failed. */
-interface TrackedClient {
+/** Connection with what its socket shows besides the responses. */
+interface TrackedClient extends ExchangeConnection {
   client: Client;
-  hasFailed: () => boolean;
+  /** Sets the exchange in flight. */
+  setExchange: (exchange: HttpExchange | undefined) => void;
   /** Ids of the requests that received an error on this connection. */
   errorIds: Set<string>;
 }
@@ -50,33 +51,43 @@
   const connector = buildConnector({ timeout: bounds.connectTimeoutMs });
   let failedSocket: Socket | undefined;
   let currentSocket: Socket | undefined;
-  const client = new Client(`http://${to.address}:${to.port}`, {
-    pipelining: 1,
-    connect: (options, callback) => {
-      connector(options, (error, socket) => {
-        if (error) {
-          callback(error, null);
-          return;
-        }
-        currentSocket = socket;
-        const recordFailure = (): void => {
-          failedSocket = socket;
-        };
-        socket.prependListener('error', recordFailure);
-        // Runs before Node.js closes its own side, after which there is no remote address either.
-        socket.prependListener('end', () => {
-          if (socket.remoteAddress === undefined) recordFailure();
+  let currentExchange: HttpExchange | undefined;
+
+  function track(socket: Socket): void {
+    currentSocket = socket;
+    const recordFailure = (): void => {
+      failedSocket = socket;
+    };
+    socket.prependListener('error', recordFailure);
+    // Runs before Node.js closes its own side, after which there is no remote address either.
+    socket.prependListener('end', () => {
+      if (socket.remoteAddress === undefined) recordFailure();
+    });
+    socket.on('readable', () => currentExchange?.checkFraming(socket.bytesRead));
+  }
+
+  return {
+    client: new Client(`http://${to.address}:${to.port}`, {
+      pipelining: 1,
+      connect: (options, callback) => {
+        connector(options, (error, socket) => {
+          if (error) {
+            callback(error, null);
+            return;
+          }
+          track(socket);
+          callback(null, socket);
         });
-        callback(null, socket);
-      });
+      },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: bounds.maxIdleMs,
+    }),
+    setExchange: (exchange) => {
+      currentExchange = exchange;
     },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: bounds.maxIdleMs,
-  });
-  return {
-    client,
     hasFailed: () => currentSocket !== undefined && currentSocket === failedSocket,
+    receivedBytes: () => (currentSocket?.destroyed === false ? currentSocket.bytesRead : 0),
     errorIds: new Set(),
   };
 }
@@ -152,12 +163,12 @@
   }
 
   private run(connection: TrackedClient, path: string, exchange: HttpExchange): void {
-    exchange.start(connection.client, connection.hasFailed, path, (state) =>
-      this.release(connection, exchange, state),
-    );
+    connection.setExchange(exchange);
+    exchange.start(connection, path, (state) => this.release(connection, exchange, state));
   }
 
   private release(connection: TrackedClient, exchange: HttpExchange, state: ConnectionState): void {
+    connection.setExchange(undefined);
     if (exchange.hasErrorStatus) connection.errorIds.add(exchange.id);
     if (state === 'reusable' && connection.errorIds.size <= MAX_ERROR_IDS) {
       if (this.open.has(connection)) this.idle.push({ connection, since: this.clock.now() });
--- a/packages/core/src/http/httpExchange.ts
+++ b/packages/core/src/http/httpExchange.ts
@@ -15,6 +15,13 @@
 
 // Data that has already arrived is read before a connection counts as unresponsive.
 const IDLE_GRACE_MS = 20;
+/**
+ * Bytes of a response that are not its body, in addition to a share of the body: the head, interim
+ * responses and what has been received and not yet been parsed.
+ */
+const MAX_FRAMING_BYTES = 256 * 1024;
+/** Bytes of framing for each byte of the body; a chunk of one byte takes five. */
+const MAX_FRAMING_BYTES_PER_BYTE = 7;
 const FIRST_FINAL_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
 const statusesWithoutBody = new Set([204, 304]);
@@ -36,6 +43,15 @@
   byteBudget: ByteBudget;
 }
 
+/** Connection of an exchange. */
+export interface ExchangeConnection {
+  readonly client: Dispatcher;
+  /** True if the connection was lost other than by a clean close. */
+  hasFailed(): boolean;
+  /** Bytes received on the connection so far. */
+  receivedBytes(): number;
+}
+
 /** State of a connection after an exchange. */
 export type ConnectionState =
   'reusable' | 'broken' | 'timedOut' | 'unresponsive' | 'mismatchedResponse';
@@ -67,7 +83,10 @@
 
   private isCloseDelimited = false;
 
-  private hasConnectionFailed: (() => boolean) | undefined;
+  private connection: ExchangeConnection | undefined;
+
+  /** Bytes that the connection had received before the exchange. */
+  private earlierBytes = 0;
 
   private readonly byteShare: ByteShare;
 
@@ -112,16 +131,16 @@
 
   /** Sends the request on `connection`; `onEnd` is called once, after the exchange has ended. */
   start(
-    connection: Dispatcher,
-    hasFailed: () => boolean,
+    connection: ExchangeConnection,
     path: string,
     onEnd: (state: ConnectionState) => void,
   ): void {
     this.onEnd = onEnd;
-    this.hasConnectionFailed = hasFailed;
+    this.connection = connection;
+    this.earlierBytes = connection.receivedBytes();
     const { method = 'POST', body } = this.request;
     const headers = { ...this.request.headers, [this.settings.idHeader]: this.id };
-    connection.dispatch(
+    connection.client.dispatch(
       {
         method,
         path,
@@ -133,6 +152,20 @@
     );
   }
 
+  /**
+   * Ends the exchange if the response takes far more bytes than its body has. The HTTP library
+   * counts neither spaces nor interim responses, and such a response may have no end.
+   */
+  checkFraming(connectionBytes: number): void {
+    if (this.hasEnded) return;
+    const framingBytes = connectionBytes - this.earlierBytes - this.body.length;
+    const limitBytes = MAX_FRAMING_BYTES + MAX_FRAMING_BYTES_PER_BYTE * this.body.length;
+    if (framingBytes <= limitBytes) return;
+    const message = `${framingBytes} bytes were received besides ${this.body.length} of the body`;
+    if (this.status === 0) this.fail(ResultCode.unknownConnectionLost, message, 'broken');
+    else this.failTruncated(message);
+  }
+
   /** Ends the exchange with a failure; does nothing when it has already ended. */
   fail(code: ResultNumber, message: string, state: ConnectionState): void {
     if (this.hasEnded) return;
@@ -177,7 +210,7 @@
 
   onResponseEnd(): void {
     if (this.hasEnded) return;
-    if (this.hasConnectionFailed?.()) {
+    if (this.connection?.hasFailed()) {
       this.failTruncated('the connection was reset before the response was complete');
       return;
     }
