--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,11 @@
       'no-console': 'error',
     },
   },
+  {
+    // Node.js resolves imports of modules only with their extension.
+    files: ['**/*.mjs'],
+    rules: { 'import-x/extensions': 'off' },
+  },
   {
     files: ['**/*.cjs'],
     languageOptions: { globals: { __dirname: 'readonly' } },
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,26 +5,15 @@
 import console from 'node:console';
 import process from 'node:process';
 import { build } from 'esbuild';
+import bundleOptions from './bundleOptions.mjs';
 
 /** Time for the load under which code is compiled, in milliseconds. */
 const CODE_CACHE_TIMEOUT_MS = 30_000;
 
 await build({
+  ...bundleOptions,
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/daemon.cjs',
-  bundle: true,
-  platform: 'node',
-  format: 'cjs',
-  target: 'node20',
-  alias: {
-    '@shallotcroft/core': './packages/core/src/index.ts',
-    '@shallotcroft/daemon': './packages/daemon/src/index.ts',
-    undici: './scripts/undiciParts.cjs',
-    'hdr-histogram-js': './scripts/histogramParts.cjs',
-  },
-  minifyWhitespace: true,
-  minifySyntax: true,
-  logLevel: 'warning',
 });
 copyFileSync('scripts/loadBundle.cjs', 'target/shallotcroft.cjs');
 rmSync('target/daemon.cache', { force: true });
