fix(daemon): a SIGHUP during the start does not end the process

Cause: the listener for SIGHUP was added after the daemon had started. A signal without a listener ends the process. A change of settings often comes with a start.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,4 +8,6 @@
 export { parseForwardingSettings } from './forwardingSettings.js';
 export type { ForwardingSettings } from './forwardingSettings.js';
 export type { FleetPlatform } from './fleetPlatform.js';
+export { receiveSignals } from './processSignals.js';
+export type { ProcessSignals, SignalHandlers } from './processSignals.js';
 export { keepRunningOnErrors } from './unexpectedErrors.js';
--- a/scripts/loadBundle.cjs
+++ b/scripts/loadBundle.cjs
@@ -1,5 +1,11 @@
 // Starts the bundle with the compiled code that the build has kept beside it. Without that code, or
 // with code of another version of Node.js, the bundle is compiled as usual.
+const process = require('node:process');
+
+// A signal without a listener ends the process. The settings are read after the bundle is loaded,
+// so the change that this one reports is not missed.
+process.on('SIGHUP', () => {});
+
 const { readFileSync } = require('node:fs');
 const { createRequire } = require('node:module');
 const path = require('node:path');
