fix: an odd record among those of the targets costs no request

Cause: the schema of a record accepted any whole number as a port, any text as an address and any number as a time. Opening a connection to such a port throws in the middle of an attempt.

--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -111,7 +111,7 @@
     }
     const { configuration, records } = response.value;
     if (configuration) routing.applyIfNewer(configuration, 'peer');
-    records.forEach(({ key, record: known }) => directory.updateFromPeer(key, known));
+    records.forEach((keyed) => this.applyRecord(keyed));
   }
 
   private async exchangeWithSample(): Promise<void> {
@@ -140,8 +140,7 @@
 
   private respond({ version, own, digests }: ExchangeRequest): ExchangeResponse {
     const { directory, routing } = this.options;
-    const record = own && parseTargetRecord(JSON.stringify(own.record));
-    if (own && record) directory.updateFromPeer(own.key, record);
+    if (own) this.applyRecord(own);
     const current = routing.current();
     return {
       configuration: current && current.version > version ? current : undefined,
@@ -149,6 +148,13 @@
     };
   }
 
+  /** Takes over a record of a peer; an invalid one is ignored. */
+  private applyRecord({ key, record: received }: KeyedRecord): void {
+    const record = parseTargetRecord(JSON.stringify(received));
+    if (record) this.options.directory.updateFromPeer(key, record);
+    else this.options.logger.log('warn', 'invalid target record of a peer ignored', { key });
+  }
+
   /** Valid records in the parts of the directory whose digests differ from `digests`. */
   private differingRecords(digests: Uint32Array): KeyedRecord[] {
     const { directory } = this.options;
--- a/packages/core/src/directory/targetAnnouncer.ts
+++ b/packages/core/src/directory/targetAnnouncer.ts
@@ -53,6 +53,13 @@
     this.interruptWait?.();
   }
 
+  /** Publishes the record again if another process has written the key at a later revision. */
+  republishReplaced(revision: number): void {
+    if (this.modRevision === undefined || revision <= this.modRevision) return;
+    this.publishedValue = '';
+    this.publishSoon();
+  }
+
   /** Publishes the record again after it was deleted from the store. */
   republishDeleted(): void {
     this.publishedValue = '';
--- a/packages/daemon/src/fleetSync.ts
+++ b/packages/daemon/src/fleetSync.ts
@@ -111,6 +111,7 @@
   function applyTargetEntry(entry: StoreEntry): void {
     if (entry.modRevision > 0) {
       directory.updateFromStore(entry.key, entry.value, entry.modRevision);
+      if (entry.key === ownKey) announcer.republishReplaced(entry.modRevision);
     } else if (entry.key === ownKey) announcer.republishDeleted();
     else directory.remove(entry.key);
     applyFleetSize();
