--- a/packages/core/src/__tests__/peerExchange.spec.ts
+++ b/packages/core/src/__tests__/peerExchange.spec.ts
@@ -17,11 +17,21 @@
 const clock = new ManualClock();
 const methods = new Map<string, PeerMethod>();
 
+const addresses = new Map<string, string>();
+
+/** The IP address of a host. */
+function addressOf(host: string): string {
+  const address = addresses.get(host) ?? `10.0.0.${addresses.size + 1}`;
+  addresses.set(host, address);
+  return address;
+}
+
 function recordOf(host: string, version = 1): TargetRecord {
-  return { ...targetRecord, targetId: `i-${host}`, address: host, incarnation: 'run', version };
+  const address = addressOf(host);
+  return { ...targetRecord, targetId: `i-${host}`, address, incarnation: 'run', version };
 }
 
-/** Parts of a daemon whose peers are addressed by host name. */
+/** Parts of a daemon. */
 function createDaemon(host: string) {
   const random = createSeededRandom(1);
   const directory = new TargetDirectory(clock, silentLogger);
@@ -38,7 +48,9 @@
       },
       close: async () => undefined,
     },
-    methods: { register: (method, handler) => methods.set(`${host} ${method}`, handler) },
+    methods: {
+      register: (method, handler) => methods.set(`${addressOf(host)} ${method}`, handler),
+    },
     directory,
     routing,
     ownKey: host,
@@ -62,7 +74,7 @@
   connected.routing.applyIfNewer(configuration, 'store');
   connected.directory.update('connected', recordOf('connected'));
   connected.directory.update('third', recordOf('third'));
-  await isolated.exchange.exchangeWith('connected', 2);
+  await isolated.exchange.exchangeWith(addressOf('connected'), 2);
   assert.equal(isolated.routing.version(), 9);
   assert.deepEqual(
     isolated.directory
@@ -82,15 +94,15 @@
     requester.directory.update(`host-${index}`, recordOf(`host-${index}`));
     responder.directory.update(`host-${index}`, recordOf(`host-${index}`));
   }
-  const respond = methods.get('responder fleet.exchange') as PeerMethod;
-  methods.set('responder fleet.exchange', async (params) => {
+  const respond = methods.get(`${addressOf('responder')} fleet.exchange`) as PeerMethod;
+  methods.set(`${addressOf('responder')} fleet.exchange`, async (params) => {
     const response = (await respond(params)) as { records: unknown[] };
     sizes.push(response.records.length);
     return response;
   });
-  await requester.exchange.exchangeWith('responder', 2);
+  await requester.exchange.exchangeWith(addressOf('responder'), 2);
   responder.directory.update('host-7', recordOf('host-7', 2));
-  await requester.exchange.exchangeWith('responder', 2);
+  await requester.exchange.exchangeWith(addressOf('responder'), 2);
   assert.equal(sizes[0], 0);
   assert.ok((sizes[1] as number) > 0 && (sizes[1] as number) < 40, `${sizes[1]} records`);
   assert.equal(requester.directory.get('host-7')?.record.version, 2);
@@ -101,7 +113,7 @@
   const responder = createDaemon('responder');
   responder.routing.applyIfNewer(configuration, 'store');
   responder.directory.update('third', recordOf('third'));
-  await requester.exchange.requestConfiguration('responder', 2);
+  await requester.exchange.requestConfiguration(addressOf('responder'), 2);
   assert.equal(requester.routing.version(), 9);
   assert.equal(requester.directory.get('third'), undefined);
 });
--- a/packages/core/src/directory/peerExchange.ts
+++ b/packages/core/src/directory/peerExchange.ts
@@ -89,7 +89,7 @@
   }
 
   private async send(address: string, port: number, digests: string | undefined): Promise<void> {
-    const { peers, routing, ownKey, ownRecord, directory, logger } = this.options;
+    const { peers, routing, ownKey, ownRecord, logger } = this.options;
     const record = ownRecord();
     const params: ExchangeRequest = {
       version: routing.version(),
@@ -139,7 +139,7 @@
   }
 
   private respond({ version, own, digests }: ExchangeRequest): ExchangeResponse {
-    const { directory, routing } = this.options;
+    const { routing } = this.options;
     if (own) this.applyRecord(own);
     const current = routing.current();
     return {
