fix: an odd heartbeat of another writer does not take the place of the target

Cause: fields were checked for their type only, a service was not checked at all, and bodies of up to 64 MiB were parsed.

Why it works: fields have the ranges of a record, so a daemon accepts no heartbeat from which it would publish a record that others reject; the service must be the host's or named in the configuration; messages of the platform may have 16 KiB. Deregistrations of unknown targets are bounded as well.

--- a/packages/core/src/directory/localTarget.ts
+++ b/packages/core/src/directory/localTarget.ts
@@ -30,6 +30,9 @@
 /** Time without a heartbeat after which the target counts as crashed, in milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 20_000;
 
+/** Largest number of unknown targets whose deregistration is remembered. */
+const MAX_UNKNOWN_DEPARTURES = 1000;
+
 /** Tracks the state of the target beside this daemon by its heartbeats; stale ones are ignored. */
 export class LocalTarget {
   private state: LocalTargetState | undefined;
@@ -47,6 +50,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
+    /** Whether a service is that of this host or is named in the configuration. */
+    readonly isServiceKnown: (service: string) => boolean = () => true,
   ) {}
 
   /** State of the target; undefined before its first heartbeat. */
@@ -92,7 +97,7 @@
     return acknowledged?.targetId === targetId && startedAt <= acknowledged.startedAt;
   }
 
-  /** Processes a heartbeat; returns false if it is stale. */
+  /** Processes a heartbeat of a known service; returns false if it is stale. */
   receive(heartbeat: TargetHeartbeat): boolean {
     if (this.isStale(heartbeat)) {
       this.logger.log('info', 'stale heartbeat ignored', {
@@ -129,7 +134,7 @@
   leave(targetId: string): void {
     if (!this.state || this.state.targetId !== targetId) {
       this.logger.log('info', 'unknown target deregistered', { target: targetId });
-      this.unknownDepartures.set(targetId, this.clock.date().getTime());
+      this.recordUnknownDeparture(targetId);
       return;
     }
     if (this.state.state === 'gone') return;
@@ -151,6 +156,13 @@
     return targetId === known.targetId && sequence < known.sequence;
   }
 
+  private recordUnknownDeparture(targetId: string): void {
+    const oldest = this.unknownDepartures.keys().next();
+    const isFull = this.unknownDepartures.size >= MAX_UNKNOWN_DEPARTURES;
+    if (isFull && !oldest.done) this.unknownDepartures.delete(oldest.value);
+    this.unknownDepartures.set(targetId, this.clock.date().getTime());
+  }
+
   private notify(before: string | undefined): void {
     const { state } = this;
     this.logger.log('info', 'state of the local target changed', {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -230,7 +230,12 @@
 export { RoutingManager } from './routes/routingManager.js';
 export { TARGET_KEY_PREFIX, TargetDirectory } from './directory/targetDirectory.js';
 export type { KnownTarget } from './directory/targetDirectory.js';
-export { parseTargetRecord } from './directory/targetRecord.js';
+export {
+  parseTargetRecord,
+  recordName,
+  recordSlots,
+  recordTime,
+} from './directory/targetRecord.js';
 export type { TargetRecord } from './directory/targetRecord.js';
 export { LocalTarget } from './directory/localTarget.js';
 export type { LocalTargetState, TargetHeartbeat } from './directory/localTarget.js';
--- a/packages/core/src/routes/routingManager.ts
+++ b/packages/core/src/routes/routingManager.ts
@@ -53,6 +53,11 @@
     this.listeners.forEach((listener) => listener(configuration));
   }
 
+  /** Whether the configuration in force names a service. */
+  hasService(name: string): boolean {
+    return this.configuration?.services.some((service) => service.name === name) ?? false;
+  }
+
   /** The route that matches a request, or undefined. */
   match(host: string, path: string): Route | undefined {
     return this.table.match(host, path);
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -103,7 +103,12 @@
   const { dataCentre } = settings;
   const retryBounds = effectiveRetryBounds(settings.retry);
   const placement = new TargetPlacement({ clock, random, directory, dataCentre });
-  const target = new LocalTarget(clock, logger);
+  const routing = new RoutingManager(random, logger);
+  const target = new LocalTarget(
+    clock,
+    logger,
+    (service) => service === settings.service || routing.hasService(service),
+  );
   const { peerPort } = settings.listen;
   const localHopPeer: HopPeer = { incarnation, peerPort, service: settings.service };
   const hopClient = new HopClient(localHopPeer, clock, ({ address, port }, idleMs) => {
@@ -119,7 +124,7 @@
       isStoreReachable: false,
       spareRetries: retryBounds.spare,
     },
-    routing: new RoutingManager(random, logger),
+    routing,
     directory,
     target,
     notices: new LocalTargetNotices({ clock, logger, target }),
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -17,6 +17,8 @@
 
 /** Limit of the size of a request body until a configuration sets one, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
+/** Limit of the size of a heartbeat and of other messages of the platform, in bytes. */
+const MAX_PLATFORM_MESSAGE_BYTES = 16 * 1024;
 /** Idle timeout of callers' connections until a configuration sets one, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
@@ -30,8 +32,8 @@
   auxiliary: ListeningServer[];
 }
 
-function listen(endpoint: Endpoint, handler: HttpHandler): Promise<ListeningServer> {
-  return listenHttp(endpoint.address, endpoint.port, DEFAULT_MAX_BODY_BYTES, handler);
+function listenForPlatform(endpoint: Endpoint, handler: HttpHandler): Promise<ListeningServer> {
+  return listenHttp(endpoint.address, endpoint.port, MAX_PLATFORM_MESSAGE_BYTES, handler);
 }
 
 function createRequestHandler(
@@ -115,15 +117,20 @@
   const { requests, readiness, heartbeats, callPort, peerPort, metricsPort } = settings.listen;
   const hops = createHopServer(options, components);
   const listeners: ForwardingListeners = {
-    requests: await listen(requests, createRequestHandler(options, components)),
+    requests: await listenHttp(
+      requests.address,
+      requests.port,
+      DEFAULT_MAX_BODY_BYTES,
+      createRequestHandler(options, components),
+    ),
     hops,
     auxiliary: [
-      await listen(
+      await listenForPlatform(
         readiness,
         platform.readinessHandler(() => isReady(components)),
       ),
-      await listen(heartbeats, platform.heartbeatHandler(components.target)),
-      await listen({ address, port: metricsPort }, createMetricsHandler(components)),
+      await listenForPlatform(heartbeats, platform.heartbeatHandler(components.target)),
+      await listenForPlatform({ address, port: metricsPort }, createMetricsHandler(components)),
     ],
   };
   await hops.listen(address, callPort);
