fix: large bodies at once stay inside the memory of a host

Cause: nothing bounded the bodies of callers' requests and of messages between daemons together; only responses being received from the target had a budget, which ended with their last byte although they were held until they had been sent. Bodies were also copied up to three times.

Why it works: requests and responses have a budget each, 15% of the memory limit, from which a body takes all but its first 16 KiB until it has been sent on; an announced body takes its room before its first byte, so that parts of several do not keep each other from it; one body alone always fits. A message between daemons whose body finds no room is read and dropped, and its request is rejected as not run. The new setting memoryMegabytes is the host's memory, at most 350, by default.

--- a/packages/core/src/__tests__/tinyPieces.spec.ts
+++ b/packages/core/src/__tests__/tinyPieces.spec.ts
@@ -103,7 +103,9 @@
 test('a message between daemons in tiny pieces costs memory by its bytes, not by its pieces', () => {
   const socket = new EventEmitter() as Socket;
   const received: [unknown, number][] = [];
-  const stream = new MessageStream(socket, (fields, body) => received.push([fields, body.length]));
+  const stream = new MessageStream(socket, (fields, body) =>
+    received.push([fields, body?.length ?? -1]),
+  );
   const header = Buffer.alloc(8);
   header.writeUInt32BE(2, 0);
   header.writeUInt32BE(PIECES, 4);
--- a/packages/core/src/forwarding/hopClient.ts
+++ b/packages/core/src/forwarding/hopClient.ts
@@ -1,5 +1,7 @@
 import type { Result } from 'ts-results-es';
 import type { Endpoint } from '../calls/call.js';
+import type { ByteBudget } from '../http/byteBudget.js';
+import { createHeldBytes } from '../http/heldBytes.js';
 import type { Clock } from '../runtime/clock.js';
 import type { Failure } from '../runtime/failure.js';
 import type { HopResponse, HopPeer, HopRequest } from './hopMessages.js';
@@ -15,6 +17,8 @@
     private readonly local: HopPeer,
     private readonly clock: Clock,
     private readonly onUnresponsive: UnresponsiveListener = () => undefined,
+    /** Bounds the bodies of responses that are held. */
+    private readonly responseBytes: ByteBudget = createHeldBytes().responses,
   ) {}
 
   /** Sends a request; fails with `notRunConnect` when nothing was sent. */
@@ -46,6 +50,7 @@
       local: this.local,
       clock: this.clock,
       onUnresponsive: this.onUnresponsive,
+      responseBytes: this.responseBytes,
       onEmpty: () => this.pools.delete(key),
     });
     this.pools.set(key, pool);
--- a/packages/core/src/forwarding/hopConnection.ts
+++ b/packages/core/src/forwarding/hopConnection.ts
@@ -3,6 +3,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { Endpoint } from '../calls/call.js';
+import type { ByteBudget } from '../http/byteBudget.js';
 import type { Clock, Timer } from '../runtime/clock.js';
 import { createFailure } from '../runtime/failure.js';
 import type { Failure } from '../runtime/failure.js';
@@ -62,12 +63,18 @@
     private readonly local: HopPeer,
     private readonly clock: Clock,
     private readonly events: HopConnectionEvents,
+    responseBytes: ByteBudget,
   ) {
     this.lastUsedAt = clock.now();
     this.lastReceivedAt = this.lastUsedAt;
     this.socket = connect({ host: endpoint.address, port: endpoint.port, noDelay: true });
-    this.stream = new MessageStream(this.socket, (fields, body) =>
-      this.handleMessage(fields, body),
+    this.stream = new MessageStream(
+      this.socket,
+      (fields, body, share) => {
+        share.close();
+        this.handleMessage(fields, body);
+      },
+      responseBytes,
     );
     this.stream.write(encodeHello(local));
     this.connectTimer = clock.startTimer(CONNECT_TIMEOUT_MS, () => {
@@ -148,7 +155,7 @@
     this.events.received();
   }
 
-  private handleMessage(fields: unknown, body: Buffer): void {
+  private handleMessage(fields: unknown, body: Buffer | undefined): void {
     this.recordReceived();
     const message = decodeHopMessage(fields, this.local, this.remote);
     if (!message) this.handleConnectionLost('invalid message, or a different protocol version');
@@ -156,6 +163,11 @@
     if (message?.kind !== 'answer') return;
     const pending = this.pending.get(message.id);
     this.pending.delete(message.id);
+    if (!body) {
+      const reason = 'the response was dropped: this daemon holds too many bytes of others';
+      pending?.settle(Err(createFailure(ResultCode.unknownAnswerTooLarge, reason)));
+      return;
+    }
     pending?.settle(Ok({ ...message.response, response: { ...message.response.response, body } }));
   }
 
--- a/packages/core/src/forwarding/hopMessages.ts
+++ b/packages/core/src/forwarding/hopMessages.ts
@@ -18,6 +18,8 @@
   host: string;
   headers: CallHeaders;
   body: Buffer;
+  /** True if the receiver had no room for the body; such a request is rejected. */
+  isBodyMissing?: boolean;
   /** Time until the deadline, in milliseconds. */
   remainingMs: number;
   callerService: string;
--- a/packages/core/src/forwarding/hopPool.ts
+++ b/packages/core/src/forwarding/hopPool.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'ts-results-es';
 import type { Endpoint } from '../calls/call.js';
+import type { ByteBudget } from '../http/byteBudget.js';
 import type { Clock, Timer } from '../runtime/clock.js';
 import type { Failure } from '../runtime/failure.js';
 import { HopConnection } from './hopConnection.js';
@@ -35,6 +36,8 @@
   local: HopPeer;
   clock: Clock;
   onUnresponsive: UnresponsiveListener;
+  /** Bounds the bodies of responses that are held. */
+  responseBytes: ByteBudget;
   /** Called when the last connection is closed. */
   onEmpty: () => void;
 }
@@ -89,19 +92,25 @@
   }
 
   private connect(): HopConnection {
-    const { endpoint, local, clock, onEmpty } = this.options;
-    const connection = new HopConnection(endpoint, local, clock, {
-      received: () => {
-        this.aliveAt = clock.now();
+    const { endpoint, local, clock, responseBytes, onEmpty } = this.options;
+    const connection = new HopConnection(
+      endpoint,
+      local,
+      clock,
+      {
+        received: () => {
+          this.aliveAt = clock.now();
+        },
+        closed: (closed) => {
+          this.connections.delete(closed);
+          if (this.connections.size > 0) return;
+          this.timer?.cancel();
+          this.timer = undefined;
+          onEmpty();
+        },
       },
-      closed: (closed) => {
-        this.connections.delete(closed);
-        if (this.connections.size > 0) return;
-        this.timer?.cancel();
-        this.timer = undefined;
-        onEmpty();
-      },
-    });
+      responseBytes,
+    );
     this.connections.add(connection);
     return connection;
   }
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -108,6 +108,9 @@
       const code = local ? ResultCode.notRunDraining : ResultCode.notRunNoTarget;
       return failWith(code, `the target beside this daemon: ${state}`);
     }
+    if (request.isBodyMissing) {
+      return failWith(ResultCode.notRunShed, 'the daemon holds too many bytes of other requests');
+    }
     if (options.isStopping()) {
       return failWith(ResultCode.notRunDraining, 'the daemon beside the target is stopping');
     }
--- a/packages/core/src/http/byteShare.ts
+++ b/packages/core/src/http/byteShare.ts
@@ -1,27 +1,46 @@
-/** Bytes that each response may hold without taking them from the budget. */
-const FREE_BYTES_PER_RESPONSE = 64 * 1024;
+/** Bytes that each body may hold without taking them from the budget. */
+const FREE_BYTES_PER_BODY = 16 * 1024;
 
-/** Part of a byte budget that one response holds. */
+/** Operations of a budget on behalf of one share. */
+export interface ByteSource {
+  /** Takes bytes for a share that holds `heldBytes`; false if the budget does not allow it. */
+  tryTake(bytes: number, heldBytes: number): boolean;
+  /** Takes bytes in any case, or returns them if `bytes` is negative. */
+  take(bytes: number): void;
+}
+
+/** Part of a byte budget that one body holds. */
 export class ByteShare {
-  private receivedBytes = 0;
+  private countedBytes = 0;
 
   private takenBytes = 0;
 
-  constructor(private readonly take: (bytes: number) => boolean) {}
+  constructor(private readonly source: ByteSource) {}
 
-  /** Counts received bytes; false if the response must not hold them. */
+  /** Counts bytes; false if the body must not hold them. */
   add(bytes: number): boolean {
-    this.receivedBytes += bytes;
-    const wanted = Math.max(0, this.receivedBytes - FREE_BYTES_PER_RESPONSE) - this.takenBytes;
-    if (wanted <= 0) return true;
-    if (!this.take(wanted)) return false;
-    this.takenBytes += wanted;
+    const wantedBytes = this.wantedBytesFor(bytes);
+    if (wantedBytes > 0 && !this.source.tryTake(wantedBytes, this.takenBytes)) return false;
+    this.countedBytes += bytes;
+    this.takenBytes += wantedBytes;
     return true;
   }
 
+  /** Counts bytes that are held already. */
+  addHeld(bytes: number): void {
+    const wantedBytes = this.wantedBytesFor(bytes);
+    if (wantedBytes > 0) this.source.take(wantedBytes);
+    this.countedBytes += bytes;
+    this.takenBytes += wantedBytes;
+  }
+
   /** Returns all bytes to the budget; idempotent. */
   close(): void {
-    this.take(-this.takenBytes);
+    if (this.takenBytes > 0) this.source.take(-this.takenBytes);
     this.takenBytes = 0;
   }
+
+  private wantedBytesFor(bytes: number): number {
+    return Math.max(0, this.countedBytes + bytes - FREE_BYTES_PER_BODY) - this.takenBytes;
+  }
 }
--- a/packages/core/src/http/httpCallTransport.ts
+++ b/packages/core/src/http/httpCallTransport.ts
@@ -3,21 +3,16 @@
 import type { CallResponse, CallRequest, Endpoint, SendBounds } from '../calls/call.js';
 import { CallHeader } from '../calls/callHeaders.js';
 import type { Clock } from '../runtime/clock.js';
-import { ByteBudget } from './byteBudget.js';
+import type { ByteBudget } from './byteBudget.js';
 import { EndpointConnections } from './endpointConnections.js';
 import type { ConnectionBounds, ConnectionCounts } from './endpointConnections.js';
 import type { Failure } from '../runtime/failure.js';
+import { createHeldBytes } from './heldBytes.js';
 import { HttpExchange } from './httpExchange.js';
 import type { ExchangeSettings } from './httpExchange.js';
 import { ResultCode } from '../runtime/resultCode.js';
 
 const SWEEP_INTERVAL_MS = 1000;
-/**
- * Bytes that the responses in flight may hold together; well below the memory of a small host, which
- * a target that never ends its responses would otherwise fill.
- */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
-
 /** Options of `HttpCallTransport`. */
 export interface HttpCallTransportOptions {
   clock: Clock;
@@ -34,6 +29,8 @@
   idHeader?: string;
   /** Accept responses without a length when their connection closes cleanly. */
   allowsCloseDelimited?: boolean;
+  /** Bounds the bodies of responses that are held; a budget of its own when absent. */
+  responseBytes?: ByteBudget;
   /** Limits of the connections to each endpoint. */
   connections?: Partial<ConnectionBounds>;
 }
@@ -84,7 +81,7 @@
       requiresEcho: settings.requiresEcho ?? false,
       idHeader: settings.idHeader ?? CallHeader.request,
       allowsCloseDelimited: settings.allowsCloseDelimited ?? false,
-      byteBudget: new ByteBudget(MAX_BUFFERED_BYTES),
+      byteBudget: settings.responseBytes ?? createHeldBytes().responses,
     };
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,7 +38,10 @@
 export { PeerServer } from './peers/peerServer.js';
 export { RpcPeerCaller } from './peers/peerCaller.js';
 export type { PeerAddress, PeerCaller, PeerMethod, PeerMethods } from './peers/peer.js';
-export { BodyTooLargeError, closeHttp, listenHttp, readBody } from './http/httpServer.js';
+export { BodyTooLargeError } from './http/bodyTooLargeError.js';
+export { closeHttp, listenHttp, readBody, startHttpServer } from './http/httpServer.js';
+export { createHeldBytes } from './http/heldBytes.js';
+export type { HeldBytes } from './http/heldBytes.js';
 export type { HttpResponse, HttpHandler, HttpRequest, ListeningServer } from './http/httpServer.js';
 export { CallTransport } from './calls/call.js';
 export type { CallResponse, CallHeaders, CallRequest, Endpoint, SendBounds } from './calls/call.js';
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -16,11 +16,13 @@
   TargetDirectory,
   TargetPlacement,
   createAdmission,
+  createHeldBytes,
   createHistograms,
 } from '@shallotcroft/core';
 import type {
   Admission,
   Clock,
+  HeldBytes,
   Histograms,
   HopPeer,
   Logger,
@@ -84,6 +86,8 @@
   methods: PeerServer;
   /** Description of this daemon that is sent to peers when a connection opens. */
   localHopPeer: HopPeer;
+  /** Budgets of the bodies that this process holds. */
+  heldBytes: HeldBytes;
   hopClient: HopClient;
   targetTransport: HttpCallTransport;
 }
@@ -111,10 +115,16 @@
   );
   const { peerPort } = settings.listen;
   const localHopPeer: HopPeer = { incarnation, peerPort, service: settings.service };
-  const hopClient = new HopClient(localHopPeer, clock, ({ address, port }, idleMs) => {
-    logger.log('info', 'daemon unresponsive', { peer: address, silentMs: Math.round(idleMs) });
-    placement.recordUnresponsive(address, port);
-  });
+  const heldBytes = createHeldBytes(settings.memoryMegabytes);
+  const hopClient = new HopClient(
+    localHopPeer,
+    clock,
+    ({ address, port }, idleMs) => {
+      logger.log('info', 'daemon unresponsive', { peer: address, silentMs: Math.round(idleMs) });
+      placement.recordUnresponsive(address, port);
+    },
+    heldBytes.responses,
+  );
   return {
     state: {
       incarnation,
@@ -142,6 +152,7 @@
     peers: new RpcPeerCaller(),
     methods: new PeerServer(),
     localHopPeer,
+    heldBytes,
     hopClient,
     targetTransport: new HttpCallTransport({
       clock,
@@ -149,6 +160,7 @@
       requiresEcho: true,
       idHeader: platform.headerCodec.idHeader,
       allowsCloseDelimited: true,
+      responseBytes: heldBytes.responses,
       connections: { maxConnections: MAX_TARGET_CONNECTIONS },
     }),
   };
--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -2,8 +2,10 @@
   HopServer,
   headersWithout,
   isConnectionHeader,
+  httpStatusOf,
   listenHttp,
   metricsText,
+  startHttpServer,
 } from '@shallotcroft/core';
 import type {
   Endpoint,
@@ -100,6 +102,7 @@
       return guard.handle(request, signal);
     },
     options.logger,
+    components.heldBytes,
   );
 }
 
@@ -117,12 +120,20 @@
   const { requests, readiness, heartbeats, callPort, peerPort, metricsPort } = settings.listen;
   const hops = createHopServer(options, components);
   const listeners: ForwardingListeners = {
-    requests: await listenHttp(
-      requests.address,
-      requests.port,
-      DEFAULT_MAX_BODY_BYTES,
-      createRequestHandler(options, components),
-    ),
+    requests: await startHttpServer({
+      ...requests,
+      limitBytes: DEFAULT_MAX_BODY_BYTES,
+      handler: createRequestHandler(options, components),
+      heldBytes: components.heldBytes,
+      onBodyRefused: (headers, { code, message }) => {
+        options.logger.log('warn', 'request rejected', {
+          request: platform.headerCodec.readCaller(headers)?.id,
+          code,
+          reason: message,
+        });
+        components.counters.increment('requests_total', String(httpStatusOf(code)));
+      },
+    }),
     hops,
     auxiliary: [
       await listenForPlatform(
--- a/packages/daemon/src/forwardingSettings.ts
+++ b/packages/daemon/src/forwardingSettings.ts
@@ -1,8 +1,12 @@
+import { totalmem } from 'node:os';
 import { ResultCode, mapping, parseYaml } from '@shallotcroft/core';
 import type { Endpoint, Failure, LogLevel, Result, YamlSource } from '@shallotcroft/core';
 import * as z from 'zod';
 
 const MAX_PORT = 65_535;
+/** Memory that a daemon uses at most where no limit is set, in megabytes. */
+const MAX_DEFAULT_MEGABYTES = 350;
+const BYTES_PER_MEGABYTE = 1024 * 1024;
 
 /** Settings of a daemon that forwards requests by host and path, with defaults applied. */
 export interface ForwardingSettings {
@@ -39,6 +43,8 @@
     /** Retries of the whole fleet that are allowed in addition to that share. */
     spare: number;
   };
+  /** Limit of the memory of this process, in megabytes; at most that of the host by default. */
+  memoryMegabytes: number;
   logLevel: LogLevel;
 }
 
@@ -79,6 +85,10 @@
     ratio: z.number({ error: 'write a share, such as 0.2' }).min(0).max(1).default(0.2),
     spare: z.number({ error: 'write a number, such as 48' }).min(0).default(48),
   }).prefault({}),
+  memoryMegabytes: z
+    .number({ error: 'write megabytes, such as 350' })
+    .min(1)
+    .default(() => Math.min(MAX_DEFAULT_MEGABYTES, totalmem() / BYTES_PER_MEGABYTE)),
   logLevel: z
     .enum(['error', 'warn', 'info', 'debug'], { error: 'write one of: error, warn, info, debug' })
     .default('info'),
