fix(daemon): a port that is still in use does not end the start of a daemon

What callers saw: a daemon that does not start (a possible cause of the users' case for FAULT, which has no logs; not shown to be theirs).

Cause: any listener whose port was in use ended the process, also the one for metrics, whose port is fixed. A daemon that is started while its former process is ending found its ports in use.

Evidence: listenWhenFree.spec; without the retry the second listener fails with EADDRINUSE.

Why it works: a port in use is tried again for ten seconds, with a log line; other errors still end the start with their message. A daemon that cannot serve metrics says so and runs.

--- a/packages/daemon/src/forwardingListeners.ts
+++ b/packages/daemon/src/forwardingListeners.ts
@@ -15,6 +15,7 @@
   ListeningServer,
 } from '@shallotcroft/core';
 import type { ForwardingOptions } from './forwardingContext.js';
+import { listenWhenFree } from './listenWhenFree.js';
 import type { ForwardingComponents } from './forwardingComponents.js';
 
 /** Limit of the size of a request body until a configuration sets one, in bytes. */
@@ -110,42 +111,63 @@
   return !state.isStopping && routing.current() !== undefined && directory.all().length > 0;
 }
 
-/** Starts all listeners of a forwarding daemon; rejects if a port is already in use. */
+function listenForRequests(
+  options: ForwardingOptions,
+  components: ForwardingComponents,
+): Promise<ListeningServer> {
+  const { settings, platform, logger } = options;
+  return startHttpServer({
+    ...settings.listen.requests,
+    limitBytes: DEFAULT_MAX_BODY_BYTES,
+    handler: createRequestHandler(options, components),
+    heldBytes: components.heldBytes,
+    onBodyRefused: (headers, { code, message }) => {
+      logger.log('warn', 'request rejected', {
+        request: platform.headerCodec.readCaller(headers)?.id,
+        code,
+        reason: message,
+      });
+      components.counters.increment('requests_total', String(httpStatusOf(code)));
+    },
+  });
+}
+
+/** Starts all listeners of a forwarding daemon; rejects if a port stays in use. */
 export async function startForwardingListeners(
   options: ForwardingOptions,
   components: ForwardingComponents,
 ): Promise<ForwardingListeners> {
-  const { settings, platform } = options;
+  const { settings, platform, logger } = options;
   const { address } = settings;
   const { requests, readiness, heartbeats, callPort, peerPort, metricsPort } = settings.listen;
   const hops = createHopServer(options, components);
+  const whenFree = <T>(port: number, listen: () => Promise<T>): Promise<T> =>
+    listenWhenFree({ ...options, port }, listen);
   const listeners: ForwardingListeners = {
-    requests: await startHttpServer({
-      ...requests,
-      limitBytes: DEFAULT_MAX_BODY_BYTES,
-      handler: createRequestHandler(options, components),
-      heldBytes: components.heldBytes,
-      onBodyRefused: (headers, { code, message }) => {
-        options.logger.log('warn', 'request rejected', {
-          request: platform.headerCodec.readCaller(headers)?.id,
-          code,
-          reason: message,
-        });
-        components.counters.increment('requests_total', String(httpStatusOf(code)));
-      },
-    }),
+    requests: await whenFree(requests.port, () => listenForRequests(options, components)),
     hops,
     auxiliary: [
-      await listenForPlatform(
-        readiness,
-        platform.readinessHandler(() => isReady(components)),
+      await whenFree(readiness.port, () =>
+        listenForPlatform(
+          readiness,
+          platform.readinessHandler(() => isReady(components)),
+        ),
+      ),
+      await whenFree(heartbeats.port, () =>
+        listenForPlatform(heartbeats, platform.heartbeatHandler(components.target)),
       ),
-      await listenForPlatform(heartbeats, platform.heartbeatHandler(components.target)),
-      await listenForPlatform({ address, port: metricsPort }, createMetricsHandler(components)),
     ],
   };
-  await hops.listen(address, callPort);
-  await components.methods.listen(address, peerPort);
+  await whenFree(callPort, () => hops.listen(address, callPort));
+  await whenFree(peerPort, () => components.methods.listen(address, peerPort));
+  // Requests do not depend on the metrics, so the daemon runs without them if it must.
+  whenFree(metricsPort, () =>
+    listenForPlatform({ address, port: metricsPort }, createMetricsHandler(components)),
+  )
+    .then((metrics) => listeners.auxiliary.push(metrics))
+    .catch((error: Error) => {
+      logger.log('error', 'metrics are not served', { port: metricsPort, reason: error.message });
+    });
   const { server } = listeners.requests;
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   components.routing.onChange(({ limits }) => {
