fix: a request that ends its targets is stopped by the fleet

Cause: a lost attempt was repeated at the next target without asking why it was lost, and nobody remembered the requests under which a target had ended.

Why it works: the daemon beside a target tells an end from a reset by whether the target still listens, and tells the requests that were lost to the daemons beside the other targets before it answers for them, so a repeat finds the suspicion in place. A suspected request runs while no other suspect does: its success clears it, another end convicts it.

--- a/packages/core/src/forwarding/requestGateway.ts
+++ b/packages/core/src/forwarding/requestGateway.ts
@@ -210,6 +210,8 @@
     if (progress.signal.aborted || progress.hops >= MAX_HOPS) return false;
     if (clock.now() + MIN_ATTEMPT_MS >= progress.deadlineAt) return false;
     if (result.code === ResultCode.notRunDeadline) return false;
+    // Every daemon of the service knows about such a request.
+    if (result.code === ResultCode.notRunBarred) return false;
     const isRepeatable = progress.route.execution === 'repeatable';
     if (result.response) {
       // Only the root call is repeated: otherwise each level of the call tree would repeat all work
@@ -280,7 +282,9 @@
       const status = result.code === ResultCode.unknownTimeout ? 504 : 502;
       return failureResponse(failure, undefined, status);
     }
-    return failureResponse(failure, waitMsOf(progress), 503);
+    // A barred request is not better off later.
+    const waitMs = result.code === ResultCode.notRunBarred ? undefined : waitMsOf(progress);
+    return failureResponse(failure, waitMs, 503);
   }
 
   function logResult(progress: RequestProgress, result: AttemptResult, status: number): void {
--- a/packages/core/src/forwarding/requestGuard.ts
+++ b/packages/core/src/forwarding/requestGuard.ts
@@ -17,7 +17,11 @@
 import type { HopResponse, HopRequest, TargetLoad } from './hopMessages.js';
 import type { LocalTargetNotices } from './localTargetNotices.js';
 import type { CallTrees } from './callTrees.js';
+import { digestOf } from './requestSuspicions.js';
+import type { RequestSuspicions } from './requestSuspicions.js';
 import { ResponseTimes } from './responseTimes.js';
+import { SolitarySlot } from './solitarySlot.js';
+import type { TargetEnds } from './targetEnds.js';
 
 /** Weight of the newest sample in the moving average of the target's response time. */
 const SERVICE_TIME_SAMPLE_WEIGHT = 0.05;
@@ -51,6 +55,8 @@
   notices: LocalTargetNotices;
   trees: CallTrees;
   levels: RouteShedLevels;
+  suspicions: RequestSuspicions;
+  targetEnds: TargetEnds;
   histograms: Histograms;
   counters: Counters;
   /** Address at which the target listens. */
@@ -81,6 +87,8 @@
 /** Creates the request guard of the target beside this daemon. */
 export function createRequestGuard(options: RequestGuardOptions): RequestGuard {
   const { clock, admission, headerCodec, attempts, target, notices, logger } = options;
+  const { suspicions, targetEnds } = options;
+  const solitarySlot = new SolitarySlot(clock);
   let active = 0;
   let serviceMs = INITIAL_SERVICE_TIME_MS;
   const responseTimes = new ResponseTimes();
@@ -152,6 +160,7 @@
     request: HopRequest,
     deadlineAt: number,
     signal: AbortSignal,
+    wasAlone: boolean,
   ): Promise<TargetOutcome> {
     const remainingMs = Math.floor(deadlineAt - clock.now());
     const local = target.current();
@@ -184,7 +193,12 @@
       { timeoutMs: remainingMs, maxResponseBytes: MAX_RESPONSE_BYTES, signal },
     );
     const reached = sent.isOk() || sent.error.code >= ResultCode.unknownTimeout;
-    if (sent.isErr()) return { result: sent, reached };
+    if (sent.isErr()) {
+      // A target that was stopped on purpose says nothing about its requests.
+      const isSuspicious = sent.error.code === ResultCode.unknownConnectionLost && target.isReady();
+      if (isSuspicious) await targetEnds.recordLoss({ request, run: local, wasAlone });
+      return { result: sent, reached };
+    }
     const elapsedMs = clock.now() - startedAt;
     serviceMs += SERVICE_TIME_SAMPLE_WEIGHT * (elapsedMs - serviceMs);
     responseTimes.record(request.route, elapsedMs);
@@ -192,11 +206,12 @@
     return { result: resultOfResponse(sent.value), reached };
   }
 
-  async function admit(request: HopRequest, signal: AbortSignal): Promise<TargetOutcome> {
-    const rejection = rejectionOf(request);
-    if (rejection) return { result: rejection, reached: false };
-    if (request.rateLimit) notices.adopt(request.rateLimit);
-    const deadlineAt = clock.now() + request.remainingMs;
+  async function admitTrusted(
+    request: HopRequest,
+    deadlineAt: number,
+    signal: AbortSignal,
+    wasAlone: boolean,
+  ): Promise<TargetOutcome> {
     if (!attempts.register(request.attemptId, deadlineAt)) {
       const result = failWith(
         ResultCode.notRunCancelled,
@@ -235,12 +250,65 @@
       concurrency: admission.load().inFlight,
     });
     options.trees.begin(request.callerId, request);
-    const outcome = await send(request, deadlineAt, signal);
+    const outcome = await send(request, deadlineAt, signal, wasAlone);
     options.trees.end(request.callerId);
     permit.value.release(outcomeOf(outcome.result, signal));
     return outcome;
   }
 
+  /** Failure of a request that is barred because targets have ended under such requests. */
+  function rejectBarred(request: HopRequest, digest: string): TargetOutcome {
+    const { runs, convictions } = suspicions.evidenceOf(digest);
+    options.counters.increment('suspected_requests_total', 'barred');
+    logger.log('warn', 'request barred', {
+      request: request.callerId,
+      attempt: request.attemptId,
+      digest,
+      endedTargets: runs.length,
+      endedAlone: convictions,
+    });
+    const message = `${runs.length} targets have ended under such requests`;
+    return { result: failWith(ResultCode.notRunBarred, message), reached: false };
+  }
+
+  /** Runs a suspected request while no other suspect runs at this target. */
+  async function admitAlone(
+    request: HopRequest,
+    digest: string,
+    deadlineAt: number,
+    signal: AbortSignal,
+  ): Promise<TargetOutcome> {
+    if (!(await solitarySlot.take(deadlineAt, signal))) {
+      const message = 'the request is suspected and others ran alone until its deadline';
+      return { result: failWith(ResultCode.notRunQueueTimeout, message), reached: false };
+    }
+    try {
+      // Its target may have ended, or the request may be barred, since it began to wait.
+      const rejection = rejectionOf(request);
+      if (rejection) return { result: rejection, reached: false };
+      if (suspicions.standingOf(digest) === 'barred') return rejectBarred(request, digest);
+      options.counters.increment('suspected_requests_total', 'ranAlone');
+      const outcome = await admitTrusted(request, deadlineAt, signal, true);
+      if (outcome.result.isOk()) suspicions.recordSuccess(digest);
+      return outcome;
+    } finally {
+      solitarySlot.free();
+    }
+  }
+
+  async function admit(request: HopRequest, signal: AbortSignal): Promise<TargetOutcome> {
+    const rejection = rejectionOf(request);
+    if (rejection) return { result: rejection, reached: false };
+    if (request.rateLimit) notices.adopt(request.rateLimit);
+    const deadlineAt = clock.now() + request.remainingMs;
+    if (suspicions.isEmpty) return admitTrusted(request, deadlineAt, signal, false);
+    const digest = digestOf(request);
+    const standing = suspicions.standingOf(digest);
+    if (standing === 'barred') return rejectBarred(request, digest);
+    if (standing === 'suspected') return admitAlone(request, digest, deadlineAt, signal);
+    return admitTrusted(request, deadlineAt, signal, false);
+  }
+
   function hopResponseOf(request: HopRequest, outcome: TargetOutcome): HopResponse {
     const { result, reached } = outcome;
     const failure = result.isErr() ? result.error : undefined;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -261,6 +261,10 @@
 export { LocalTargetNotices } from './forwarding/localTargetNotices.js';
 export { AttemptRegistry } from './forwarding/attemptRegistry.js';
 export type { VoidOutcome } from './forwarding/attemptRegistry.js';
+export { RequestSuspicions } from './forwarding/requestSuspicions.js';
+export type { SuspicionEvidence } from './forwarding/requestSuspicions.js';
+export { createTargetEnds } from './forwarding/targetEnds.js';
+export type { TargetEnds } from './forwarding/targetEnds.js';
 export { createRequestGuard } from './forwarding/requestGuard.js';
 export type { RequestGuard } from './forwarding/requestGuard.js';
 export { VOID_METHOD, createHopSender } from './forwarding/hopSender.js';
--- a/packages/core/src/runtime/resultCode.ts
+++ b/packages/core/src/runtime/resultCode.ts
@@ -13,6 +13,7 @@
   notRunTargetRefused: 1008,
   notRunCancelled: 1009,
   notRunNoAttemptLeft: 1010,
+  notRunBarred: 1011,
 
   // 2xxx: the outcome is unknown; the call may have run, wholly or in part.
   unknownTimeout: 2001,
--- a/packages/daemon/src/forwardingComponents.ts
+++ b/packages/daemon/src/forwardingComponents.ts
@@ -4,12 +4,15 @@
   createHopSender,
   createRequestGateway,
   createRequestGuard,
+  createTargetEnds,
 } from '@shallotcroft/core';
 import type { KnownTarget, RequestGateway, RequestGuard, VoidParams } from '@shallotcroft/core';
 import { createFleetSync } from './fleetSync.js';
 import type { FleetSync } from './fleetSync.js';
 import { createForwardingContext } from './forwardingContext.js';
 import type { ForwardingContext, ForwardingOptions } from './forwardingContext.js';
+import { createSuspicionSharing, isListening } from './suspicionSharing.js';
+import type { SuspicionSharing } from './suspicionSharing.js';
 
 /** Share of the local target's slots that is used; some targets slow down when nearly full. */
 const USED_SLOT_SHARE = 0.95;
@@ -18,10 +21,15 @@
 export interface ForwardingComponents extends ForwardingContext {
   fleetSync: FleetSync;
   guard: RequestGuard;
+  suspicionSharing: SuspicionSharing;
   gateway: RequestGateway;
 }
 
-function createGuard(options: ForwardingOptions, context: ForwardingContext): RequestGuard {
+function createGuard(
+  options: ForwardingOptions,
+  context: ForwardingContext,
+  suspicionSharing: SuspicionSharing,
+): RequestGuard {
   const { state, methods, routing } = context;
   const attempts = new AttemptRegistry(options.clock);
   methods.register(VOID_METHOD, async (params) => {
@@ -35,6 +43,12 @@
     transport: context.targetTransport,
     headerCodec: options.platform.headerCodec,
     attempts,
+    targetEnds: createTargetEnds({
+      ...options,
+      ...context,
+      isListening: () => isListening(options.settings.target, options.clock),
+      share: (evidence) => suspicionSharing.share(evidence),
+    }),
     endpoint: options.settings.target,
     incarnation: state.incarnation,
     isStopping: () => state.isStopping,
@@ -91,11 +105,12 @@
 export function createForwardingComponents(options: ForwardingOptions): ForwardingComponents {
   const context = createForwardingContext(options);
   const fleetSync = createFleetSync({ ...options, context });
-  const guard = createGuard(options, context);
+  const suspicionSharing = createSuspicionSharing(options, context);
+  const guard = createGuard(options, context, suspicionSharing);
   const gateway = createGateway(options, context, guard, fleetSync);
   subscribeToTarget({ ...context, fleetSync });
   context.routing.onChange(({ routes }) => {
     context.trees.keepRoutes(new Set(routes.map(({ name }) => name)));
   });
-  return { ...context, fleetSync, guard, gateway };
+  return { ...context, fleetSync, guard, suspicionSharing, gateway };
 }
--- a/packages/daemon/src/forwardingContext.ts
+++ b/packages/daemon/src/forwardingContext.ts
@@ -8,6 +8,7 @@
   LocalTargetNotices,
   PeerServer,
   CallTrees,
+  RequestSuspicions,
   RetryBudget,
   RouteShedLevels,
   RoutingManager,
@@ -77,6 +78,8 @@
   trees: CallTrees;
   failures: ChildCallFailures;
   levels: RouteShedLevels;
+  /** Requests under which targets of this service have ended. */
+  suspicions: RequestSuspicions;
   placement: TargetPlacement;
   retryBudget: RetryBudget;
   admission: Admission;
@@ -142,6 +145,7 @@
     failures,
     levels: new RouteShedLevels({ clock, random, trees, failures }),
     placement,
+    suspicions: new RequestSuspicions(clock),
     retryBudget: new RetryBudget(clock, retryBounds.ratio, 0),
     admission: createAdmission({
       clock,
