perf(core): expired suspicions are swept

Found on reading the change: a suspicion was only removed when its own digest was asked for again, and paths are mostly asked for once. So after one end of a target every later request was hashed with its body for the life of the daemon.

--- a/packages/core/src/__tests__/requestSuspicions.spec.ts
+++ b/packages/core/src/__tests__/requestSuspicions.spec.ts
@@ -59,6 +59,19 @@
   assert.equal(suspicions.standingOf('deadly'), 'trusted');
 });
 
+// Otherwise every request would be hashed for good after one end of a target.
+test('expired suspicions are swept, and barred ones stay', async () => {
+  const clock = new ManualClock();
+  const suspicions = new RequestSuspicions(clock);
+  suspicions.recordEnd('run-1', [lostWith('deadly', true), lostWith('innocent')]);
+  await clock.advance(30_000);
+  suspicions.sweep();
+  assert.equal(suspicions.isEmpty, false);
+  await clock.advance(30_000);
+  suspicions.sweep();
+  assert.equal(suspicions.isEmpty, true);
+});
+
 test('a flood of suspected requests is bounded and does not free a barred one', () => {
   const suspicions = new RequestSuspicions(new ManualClock());
   suspicions.recordEnd('run-1', [lostWith('deadly', true)]);
--- a/packages/core/src/forwarding/requestSuspicions.ts
+++ b/packages/core/src/forwarding/requestSuspicions.ts
@@ -93,6 +93,11 @@
     if (this.standingOf(digest) === 'suspected') this.suspicions.delete(digest);
   }
 
+  /** Forgets what has expired; without suspicions, no request needs a digest. */
+  sweep(): void {
+    [...this.suspicions.keys()].forEach((digest) => this.standingOf(digest));
+  }
+
   /** Evidence against the requests that are barred. */
   barred(): SuspicionEvidence[] {
     return [...this.suspicions.keys()]
--- a/packages/daemon/src/forwardingDaemon.ts
+++ b/packages/daemon/src/forwardingDaemon.ts
@@ -36,7 +36,7 @@
 
 async function runSweeps(
   { clock }: ForwardingOptions,
-  { fleetSync, placement, levels, hopClient, suspicionSharing }: ForwardingComponents,
+  { fleetSync, placement, levels, hopClient, suspicions, suspicionSharing }: ForwardingComponents,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
@@ -44,6 +44,7 @@
     fleetSync.applyFleetSize();
     placement.sweep();
     levels.sweep();
+    suspicions.sweep();
     suspicionSharing.tellNewcomers();
     hopClient.closeIdleConnections();
   }
