--- a/review/standIns-2/deployment.ts
+++ b/review/standIns-2/deployment.ts
@@ -19,6 +19,7 @@
 };
 const SERVICE = { healthCheckPath: '/health', maxConnections: 934, protocol: 'h1', tls: false };
 const ZONE = 'scot-central-a';
+const STORE_HOST = '127.0.0.1';
 /** Last number of the address of the first machine; each machine has a loopback address. */
 const FIRST_ADDRESS = 11;
 /** Time until all daemons know each other's upstreams, in milliseconds. */
@@ -42,6 +43,8 @@
 export interface Machine {
   daemon: Daemon;
   upstream: Upstream;
+  /** Address at which this machine calls the store. */
+  storeAddress: string;
 }
 
 interface MachineText {
@@ -55,7 +58,7 @@
 
   readonly machines: Machine[] = [];
 
-  private readonly store = new PlatformStore();
+  readonly store = new PlatformStore();
 
   private readonly folder = mkdtempSync(path.join(os.tmpdir(), 'shallotcroft-review-'));
 
@@ -63,7 +66,6 @@
 
   /** Starts the store and a machine for each entry of `machines`. */
   async start(routes: RouteText[], machines: MachineText[]): Promise<void> {
-    await this.store.start('127.0.0.1');
     this.services = [...new Set(machines.map(({ service }) => service))];
     this.configure(1, routes);
     for (const machine of machines) await this.addMachine(machine);
@@ -111,15 +113,16 @@
     const common = { service, zone: ZONE, address, record: this.record };
     const upstream = new Upstream({ ...common, id: `i-${number}`, handler });
     await upstream.start();
+    const storeAddress = await this.store.open(STORE_HOST);
     const daemon = new Daemon({
       ...common,
       name: `sidecar-${number}`,
       appAddress: upstream.appAddress,
-      store: this.store.address,
+      store: storeAddress,
       folder: this.folder,
       bounds: BOUNDS,
     });
-    this.machines.push({ upstream, daemon });
+    this.machines.push({ upstream, daemon, storeAddress });
     await daemon.prepare();
     daemon.start();
     await daemon.becomeReachable();
--- a/review/standIns-2/send.ts
+++ b/review/standIns-2/send.ts
@@ -2,8 +2,6 @@
 import type { EventRecord } from './eventRecord.js';
 
 const HEAD_END = '\r\n\r\n';
-const READ_INTERVAL_MS = 100;
-const MS_PER_S = 1000;
 
 /** A request without a body. */
 export interface ClientRequest {
@@ -15,16 +13,6 @@
   deadlineMs: number;
 }
 
-/** How a client reads the answer. */
-export interface Reading {
-  /** Bytes that it reads each second, unlimited if absent. */
-  bytesPerS?: number;
-  /** Time after which it reads as fast as it can, in milliseconds. */
-  slowMs?: number;
-  /** Called when the head of the answer has arrived. */
-  onHead?: () => void;
-}
-
 /** What a client has received. */
 export interface ReceivedAnswer {
   /** 0 without an answer. */
@@ -93,27 +81,18 @@
 }
 
 /** Sends a request on a new connection and reads the answer. */
-export function send(
-  request: ClientRequest,
-  record: EventRecord,
-  { bytesPerS, slowMs = Infinity, onHead }: Reading = {},
-): Promise<ReceivedAnswer> {
+export function send(request: ClientRequest, record: EventRecord): Promise<ReceivedAnswer> {
   const [host = '', port] = request.to.split(':');
   return new Promise((resolve) => {
     const answer = new Answer();
     const socket = connect({ host, port: Number(port) });
     const startedAt = Date.now();
-    const bytesPerRead =
-      bytesPerS === undefined ? Infinity : (bytesPerS * READ_INTERVAL_MS) / MS_PER_S;
-    let readable = bytesPerRead;
     let reason = 'end';
     let isDone = false;
-    let reader: NodeJS.Timeout | undefined;
     let deadline: NodeJS.Timeout | undefined;
     const finish = (finalReason: string): void => {
       if (isDone) return;
       isDone = true;
-      clearInterval(reader);
       clearTimeout(deadline);
       socket.destroy();
       const { status, signature, length, bodyBytes } = answer;
@@ -123,22 +102,13 @@
       record.add('answered', { request: request.id, ...result });
       resolve(result);
     };
-    reader = setInterval(() => {
-      const isSlow = Date.now() - startedAt < slowMs;
-      readable = isSlow ? Math.min(bytesPerRead, readable + bytesPerRead) : Infinity;
-      if (readable > 0) socket.resume();
-    }, READ_INTERVAL_MS);
     deadline = setTimeout(() => finish('deadline'), request.deadlineMs);
     socket.on('connect', () => {
       record.add('sent', { request: request.id, to: request.to, path: request.path });
       socket.write(headOf(request));
     });
     socket.on('data', (piece) => {
-      const isFirst = answer.status === 0;
       answer.receive(piece);
-      if (isFirst && answer.status !== 0) onHead?.();
-      readable -= piece.length;
-      if (readable <= 0) socket.pause();
       if (answer.isWhole(false)) finish('whole');
     });
     socket.on('error', (error: NodeJS.ErrnoException) => {
--- a/review/standIns-2/store.ts
+++ b/review/standIns-2/store.ts
@@ -63,27 +63,45 @@
 
   private lastLease = 0;
 
-  private readonly server: Server = createServer((incoming, response) => {
-    this.serve(incoming, response).catch(() => response.destroy());
-  });
+  private readonly servers = new Map<string, Server>();
 
-  get address(): string {
-    const { address, port } = this.server.address() as AddressInfo;
-    return `${address}:${port}`;
-  }
+  /** Addresses whose callers get no responses. */
+  private readonly silentAddresses = new Set<string>();
 
-  async start(address: string): Promise<void> {
+  /** Opens an address of the store for one machine; resolves with it. */
+  async open(host: string): Promise<string> {
+    const server = createServer();
     await new Promise<void>((resolve) => {
-      this.server.listen(0, address, resolve);
+      server.listen(0, host, resolve);
+    });
+    const address = `${host}:${(server.address() as AddressInfo).port}`;
+    const isSilent = (): boolean => this.silentAddresses.has(address);
+    server.on('request', (incoming: IncomingMessage, response: ServerResponse) => {
+      this.serve(incoming, response, isSilent).catch(() => response.destroy());
     });
+    this.servers.set(address, server);
+    return address;
   }
 
   stop(): void {
-    this.server.closeAllConnections();
-    this.server.close();
+    this.servers.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
     this.leases.forEach(({ timer }) => clearTimeout(timer));
   }
 
+  /** Gives the callers at an address no responses from now on; calls of theirs do nothing. */
+  turnAway(address: string): void {
+    this.silentAddresses.add(address);
+  }
+
+  /** Serves the callers at an address again, on new connections. */
+  serveAgain(address: string): void {
+    this.silentAddresses.delete(address);
+    this.servers.get(address)?.closeAllConnections();
+  }
+
   /** Writes a key as the operator does. */
   write(key: string, text: string): void {
     this.put({ key, value: Buffer.from(text, 'utf8').toString('base64') });
@@ -122,12 +140,17 @@
       .forEach(({ key }) => this.remove(key));
   }
 
-  private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    isSilent: () => boolean,
+  ): Promise<void> {
     const { pathname, searchParams } = new URL(incoming.url ?? '/', 'http://store');
     const body = await readBody(incoming);
+    if (isSilent()) return;
     if (pathname === '/kv-key') this.answerKey(response, searchParams);
     else if (pathname === '/kv-range') this.answerRange(response, searchParams);
-    else if (pathname === '/kv-watch') this.watch(response, searchParams);
+    else if (pathname === '/kv-watch') this.watch(response, searchParams, isSilent);
     else if (pathname === '/kv-txn') this.transact(response, body);
     else if (pathname === '/kv-lease') this.grantLease(response, (body as Lease).ttlS);
     else if (pathname.startsWith('/kv-keep/')) {
@@ -148,7 +171,11 @@
     answer(response, 200, { items, hasMore: false, asOf: this.revision });
   }
 
-  private watch(response: ServerResponse, parameters: URLSearchParams): void {
+  private watch(
+    response: ServerResponse,
+    parameters: URLSearchParams,
+    isSilent: () => boolean,
+  ): void {
     const prefix = parameters.get('pathPrefix') ?? '';
     const after = Number(parameters.get('after'));
     const eventsNow = (): StoreEvent[] =>
@@ -156,6 +183,7 @@
     let stopWaiting = (): void => undefined;
     const finish = (): void => {
       stopWaiting();
+      if (isSilent()) return;
       answer(response, 200, { events: eventsNow(), asOf: this.revision });
     };
     const check = (): void => {
