test: a daemon that the store turns away silently keeps an old configuration

Tried: the store gives one of three machines no response for 9 s, and a version moves a route meanwhile.

--- a/review/standIns-2/case7.ts
+++ b/review/standIns-2/case7.ts
@@ -1,74 +1,74 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { RouteText } from './deployment.js';
 import { runCase } from './runCase.js';
 import { send } from './send.js';
-import type { UpstreamHandler } from './upstream.js';
+import { answerAfter } from './upstream.js';
 
-const DEADLINE_MS = 6000;
-const GRACE_PERIOD_MS = 6000;
-/** More than the buffers of a loopback connection hold. */
-const body = Buffer.alloc(20 * 1024 * 1024, 'x');
-/** The client reads slowly at first, and then as fast as it can. */
-const READ_BYTES_PER_S = 1024 * 1024;
-const SLOW_MS = 4000;
+/** How long the store turns the machine away: the longest `for_s` of the site file. */
+const TURNED_AWAY_MS = 9000;
+const CHANGE_AFTER_MS = 200;
+/** `configApplyS` and `outerBoundS`. */
+const APPLY_MS = 2500 + 5000;
+const DEADLINE_MS = 2000;
+const WORK_MS = 20;
+const SEND_INTERVAL_MS = 100;
 
-const pay: RouteText = {
-  name: 'pay',
-  host: 'jepu9.example',
-  pathPrefix: '/pay/',
-  kind: 'non_idempotent',
-  timeoutS: 6,
-  targetLatencyS: 1.5,
-  priority: 0,
-  service: 'payments',
-  maxAttempts: 2,
-};
-
-const answerWithLength: UpstreamHandler = (_incoming, response) => {
-  response.writeHead(200, { 'Response-Signature': 'signed', 'Content-Length': body.length });
-  response.end(body);
-};
+function routeTo(service: string): RouteText {
+  return {
+    name: 'history',
+    host: 'hulo84.example',
+    pathPrefix: '/history/',
+    kind: 'idempotent',
+    timeoutS: 2,
+    targetLatencyS: 1.5,
+    priority: 2,
+    maxAttempts: 2,
+    service,
+  };
+}
 
 await runCase(async (deployment, hasTrouble) => {
-  const handler = answerWithLength;
+  const handler = answerAfter(WORK_MS);
   await deployment.start(
-    [pay],
+    [routeTo('consents')],
     [
       { service: 'consents', handler },
       { service: 'payments', handler },
+      { service: 'ductmap', handler },
     ],
   );
-  const { record } = deployment;
-  const { daemon } = deployment.machine(0);
-  let stoppedAt = 0;
-  const answer = await send(
-    {
+  const { record, store } = deployment;
+  const { daemon, upstream, storeAddress } = deployment.machine(0);
+  const beganAt = Date.now();
+  if (hasTrouble) {
+    store.turnAway(storeAddress);
+    record.add('store', { turnsAway: daemon.name });
+  }
+  await sleep(CHANGE_AFTER_MS);
+  deployment.configure(2, [routeTo('payments')]);
+  const changedAt = Date.now();
+  const sentAt = new Map<string, number>();
+  for (let number = 1; Date.now() < beganAt + TURNED_AWAY_MS; number++) {
+    const id = `r-${number}`;
+    sentAt.set(id, Date.now());
+    const request = {
       to: daemon.outbound,
-      method: 'POST',
-      path: '/pay/1',
-      host: pay.host,
-      id: 'r-1',
+      method: 'GET' as const,
+      path: `/history/${number}`,
+      host: 'hulo84.example',
+      id,
       deadlineMs: DEADLINE_MS,
-    },
-    record,
-    {
-      bytesPerS: READ_BYTES_PER_S,
-      slowMs: SLOW_MS,
-      onHead: () => {
-        if (!hasTrouble) return;
-        stoppedAt = Date.now();
-        daemon.signal('SIGTERM');
-      },
-    },
-  );
-  if (deployment.machine(1).upstream.runs.length !== 1) throw new Error('it did not run once');
-  if (answer.isWhole) return [];
-  if (!hasTrouble) throw new Error('no answer without a disruption');
-  // The rule does not count a request that has reached its deadline.
-  if (answer.reason === 'deadline') return [];
-  const endedMs = (await daemon.ended) - stoppedAt;
-  if (endedMs >= GRACE_PERIOD_MS) return [];
+    };
+    await send(request, record);
+    await sleep(SEND_INTERVAL_MS);
+  }
+  store.serveAgain(storeAddress);
+  const late = upstream.runs
+    .map(({ requestId }) => (sentAt.get(requestId) ?? 0) - changedAt)
+    .filter((afterMs) => afterMs > APPLY_MS);
+  if (late.length === 0) return [];
   return [
-    `a payment ran, and its answer was cut at ${answer.bodyBytes} of ${answer.length} bytes by a ` +
-      `process that ended ${endedMs} ms after its SIGTERM`,
+    `${late.length} requests, sent from ${late[0]} to ${late.at(-1)} ms after the acknowledgement ` +
+      'of the version that moves their route, were run by the old service',
   ];
 });
