--- a/review/standIns-2/case8.ts
+++ b/review/standIns-2/case8.ts
@@ -1,140 +1,105 @@
+import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Daemon } from './daemon.js';
 import type { RouteText } from './deployment.js';
 import type { EventRecord } from './eventRecord.js';
 import { runCase } from './runCase.js';
-import { send } from './send.js';
-import type { ReceivedAnswer } from './send.js';
 import { answerAfter } from './upstream.js';
-import type { UpstreamHandler } from './upstream.js';
 
-const DEADLINE_MS = 6000;
-const CALL_WORK_MS = 300;
-/** One call takes that many times as long, as `tail_x` of the site file says. */
-const TAIL_X = 5;
-/** It is the first one that is run that long after the SIGTERM. */
-const TAIL_AFTER_MS = 3850;
+const WORK_MS = 500;
+const DEADLINE_MS = 5000;
+const CONNECTIONS = 4;
+const REQUESTS_PER_CONNECTION = 4;
 const STOP_AFTER_MS = 200;
-/** Payments before the stop, from which the daemon knows how long they take. */
-const EARLIER_PAYMENTS = 30;
-/** Time after the SIGTERM up to which the rule has an exception for long requests. */
-const EXCEPTION_MS = 3000;
-const SETTLE_MS = 1000;
+const HEAD_END = '\r\n\r\n';
 
-const common = {
+const history: RouteText = {
+  name: 'history',
   host: 'hulo84.example',
-  timeoutS: 6,
-  targetLatencyS: 1.5,
-  maxAttempts: 2,
-};
-const pages: RouteText = {
-  ...common,
-  name: 'pages',
-  pathPrefix: '/pages/',
+  pathPrefix: '/history/',
   kind: 'idempotent',
+  timeoutS: 5,
+  targetLatencyS: 1.5,
   priority: 2,
-  service: 'consents',
-};
-const pay: RouteText = {
-  ...common,
-  name: 'pay',
-  pathPrefix: '/pay/',
-  kind: 'non_idempotent',
-  priority: 0,
   service: 'payments',
+  maxAttempts: 2,
 };
 
-interface Payment {
-  id: string;
-  sentAt: number;
-  answer: ReceivedAnswer;
+/** Ids of the requests that a text answers completely, each with a body of a known length. */
+function answeredIds(text: string): string[] {
+  const ids: string[] = [];
+  let rest = text;
+  for (;;) {
+    const headEnd = rest.indexOf(HEAD_END);
+    if (headEnd < 0) return ids;
+    const head = rest.slice(0, headEnd);
+    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1]);
+    const end = headEnd + HEAD_END.length + length;
+    if (!(rest.length >= end)) return ids;
+    ids.push(/^request-id: (.*)$/im.exec(head)?.[1] ?? '');
+    rest = rest.slice(end);
+  }
 }
 
-async function sendPayment(
-  { outbound }: Daemon,
-  record: EventRecord,
-  id: string,
-  deadlineMs: number,
-): Promise<Payment> {
-  const sentAt = Date.now();
-  const request = {
-    to: outbound,
-    method: 'POST' as const,
-    path: '/pay/1',
-    host: pay.host,
-    id,
-    deadlineMs,
-  };
-  return { id, sentAt, answer: await send(request, record) };
+/** Sends requests one after the other on a connection, without waiting for the answers. */
+function sendTogether(to: string, ids: string[], record: EventRecord): Promise<string[]> {
+  const [host = '', port] = to.split(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    let text = '';
+    let deadline: NodeJS.Timeout | undefined;
+    const finish = (reason: string): void => {
+      clearTimeout(deadline);
+      socket.removeAllListeners('close').destroy();
+      const answered = answeredIds(text);
+      record.add('answered', { requests: answered.join(','), reason });
+      resolve(answered);
+    };
+    deadline = setTimeout(() => finish('deadline'), DEADLINE_MS);
+    socket.on('connect', () => {
+      const requests = ids.map((id) =>
+        [
+          `GET /history/${id} HTTP/1.1`,
+          `Host: ${history.host}`,
+          `Request-Id: ${id}`,
+          `Deadline-Ms: ${DEADLINE_MS}`,
+        ].join('\r\n'),
+      );
+      record.add('sent', { to, requests: ids.join(',') });
+      socket.write(requests.map((request) => request + HEAD_END).join(''));
+    });
+    socket.on('data', (piece) => {
+      text += piece.toString('latin1');
+      if (answeredIds(text).length === ids.length) finish('whole');
+    });
+    socket.on('error', ({ message }) => record.add('failed', { reason: message }));
+    socket.on('close', () => finish('closed'));
+  });
 }
 
 await runCase(async (deployment, hasTrouble) => {
-  const { record } = deployment;
-  const calls: Payment[] = [];
-  let tailFrom = Infinity;
-  const runPayment: UpstreamHandler = (incoming, response) => {
-    const isTail = Date.now() >= tailFrom;
-    if (isTail) tailFrom = Infinity;
-    answerAfter(isTail ? TAIL_X * CALL_WORK_MS : CALL_WORK_MS)(incoming, response);
-  };
-  /** Makes one payment after the other until little time is left, each by a call of its own. */
-  const runPage: UpstreamHandler = (incoming, response) => {
-    const deadlineAt = Date.now() + Number(incoming.headers['deadline-ms']);
-    const id = String(incoming.headers['request-id']);
-    const { daemon } = deployment.machine(0);
-    const makeCalls = async (): Promise<void> => {
-      for (let number = 1; deadlineAt - Date.now() > 2 * CALL_WORK_MS; number++) {
-        const leftMs = deadlineAt - Date.now();
-        calls.push(await sendPayment(daemon, record, `${id}.${number}`, leftMs));
-      }
-      answerAfter(0)(incoming, response);
-    };
-    makeCalls().catch(() => incoming.socket.destroy());
-  };
+  const handler = answerAfter(WORK_MS);
   await deployment.start(
-    [pages, pay],
+    [history],
     [
-      { service: 'consents', handler: runPage },
-      { service: 'payments', handler: runPayment },
-      { service: 'ductmap', handler: runPayment },
+      { service: 'consents', handler },
+      { service: 'payments', handler },
     ],
   );
+  const { record } = deployment;
   const { daemon } = deployment.machine(0);
-  const earlier = Array.from({ length: EARLIER_PAYMENTS }, (_, index) =>
-    sendPayment(daemon, record, `earlier-${index}`, DEADLINE_MS),
-  );
-  await Promise.all(earlier);
-  const page = send(
-    {
-      to: deployment.machine(2).daemon.outbound,
-      method: 'GET',
-      path: '/pages/1',
-      host: pages.host,
-      id: 'page',
-      deadlineMs: DEADLINE_MS,
-    },
-    record,
-  );
+  const { upstream } = deployment.machine(1);
+  const sent = Array.from({ length: CONNECTIONS }, (_, connection) => {
+    const ids = Array.from({ length: REQUESTS_PER_CONNECTION }, (__, n) => `r-${connection}-${n}`);
+    return sendTogether(daemon.outbound, ids, record);
+  });
   await sleep(STOP_AFTER_MS);
-  const stoppedAt = Date.now();
-  tailFrom = stoppedAt + TAIL_AFTER_MS;
+  const passedOn = upstream.runs.map(({ requestId }) => requestId);
   if (hasTrouble) daemon.signal('SIGTERM');
-  await page;
-  // The answer to the last call may come a little later.
-  await sleep(SETTLE_MS);
-  const ran = new Set(deployment.machine(1).upstream.runs.map(({ requestId }) => requestId));
-  const broken = calls.filter(
-    ({ id, sentAt, answer }) =>
-      ran.has(id) &&
-      sentAt > stoppedAt + EXCEPTION_MS &&
-      answer.signature === undefined &&
-      answer.reason !== 'deadline' &&
-      answer.status !== 504,
-  );
-  return broken.map(
-    ({ id, sentAt, answer }) =>
-      `the payment ${id}, sent ${sentAt - stoppedAt} ms after the SIGTERM, was at work and got ` +
-      `${answer.status === 0 ? 'no answer' : answer.status} at ` +
-      `${sentAt + answer.tookMs - stoppedAt} ms`,
-  );
+  const answered = new Set((await Promise.all(sent)).flat());
+  const lost = passedOn.filter((id) => !answered.has(id));
+  record.add('counted', { passedOn: passedOn.length, lost: lost.join(',') });
+  if (lost.length === 0) return [];
+  return [
+    `${lost.length} of ${passedOn.length} requests that were at work before the SIGTERM got no answer`,
+  ];
 });
--- a/review/standIns-2/deployment.ts
+++ b/review/standIns-2/deployment.ts
@@ -43,8 +43,6 @@
 export interface Machine {
   daemon: Daemon;
   upstream: Upstream;
-  /** Address at which this machine calls the store. */
-  storeAddress: string;
 }
 
 interface MachineText {
@@ -58,7 +56,7 @@
 
   readonly machines: Machine[] = [];
 
-  readonly store = new PlatformStore();
+  private readonly store = new PlatformStore();
 
   private readonly folder = mkdtempSync(path.join(os.tmpdir(), 'shallotcroft-review-'));
 
@@ -122,7 +120,7 @@
       folder: this.folder,
       bounds: BOUNDS,
     });
-    this.machines.push({ upstream, daemon, storeAddress });
+    this.machines.push({ upstream, daemon });
     await daemon.prepare();
     daemon.start();
     await daemon.becomeReachable();
--- a/review/standIns-2/store.ts
+++ b/review/standIns-2/store.ts
@@ -63,10 +63,7 @@
 
   private lastLease = 0;
 
-  private readonly servers = new Map<string, Server>();
-
-  /** Addresses whose callers get no responses. */
-  private readonly silentAddresses = new Set<string>();
+  private readonly servers: Server[] = [];
 
   /** Opens an address of the store for one machine; resolves with it. */
   async open(host: string): Promise<string> {
@@ -74,13 +71,11 @@
     await new Promise<void>((resolve) => {
       server.listen(0, host, resolve);
     });
-    const address = `${host}:${(server.address() as AddressInfo).port}`;
-    const isSilent = (): boolean => this.silentAddresses.has(address);
     server.on('request', (incoming: IncomingMessage, response: ServerResponse) => {
-      this.serve(incoming, response, isSilent).catch(() => response.destroy());
+      this.serve(incoming, response).catch(() => response.destroy());
     });
-    this.servers.set(address, server);
-    return address;
+    this.servers.push(server);
+    return `${host}:${(server.address() as AddressInfo).port}`;
   }
 
   stop(): void {
@@ -91,17 +86,6 @@
     this.leases.forEach(({ timer }) => clearTimeout(timer));
   }
 
-  /** Gives the callers at an address no responses from now on; calls of theirs do nothing. */
-  turnAway(address: string): void {
-    this.silentAddresses.add(address);
-  }
-
-  /** Serves the callers at an address again, on new connections. */
-  serveAgain(address: string): void {
-    this.silentAddresses.delete(address);
-    this.servers.get(address)?.closeAllConnections();
-  }
-
   /** Writes a key as the operator does. */
   write(key: string, text: string): void {
     this.put({ key, value: Buffer.from(text, 'utf8').toString('base64') });
@@ -140,17 +124,12 @@
       .forEach(({ key }) => this.remove(key));
   }
 
-  private async serve(
-    incoming: IncomingMessage,
-    response: ServerResponse,
-    isSilent: () => boolean,
-  ): Promise<void> {
+  private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const { pathname, searchParams } = new URL(incoming.url ?? '/', 'http://store');
     const body = await readBody(incoming);
-    if (isSilent()) return;
     if (pathname === '/kv-key') this.answerKey(response, searchParams);
     else if (pathname === '/kv-range') this.answerRange(response, searchParams);
-    else if (pathname === '/kv-watch') this.watch(response, searchParams, isSilent);
+    else if (pathname === '/kv-watch') this.watch(response, searchParams);
     else if (pathname === '/kv-txn') this.transact(response, body);
     else if (pathname === '/kv-lease') this.grantLease(response, (body as Lease).ttlS);
     else if (pathname.startsWith('/kv-keep/')) {
@@ -171,11 +150,7 @@
     answer(response, 200, { items, hasMore: false, asOf: this.revision });
   }
 
-  private watch(
-    response: ServerResponse,
-    parameters: URLSearchParams,
-    isSilent: () => boolean,
-  ): void {
+  private watch(response: ServerResponse, parameters: URLSearchParams): void {
     const prefix = parameters.get('pathPrefix') ?? '';
     const after = Number(parameters.get('after'));
     const eventsNow = (): StoreEvent[] =>
@@ -183,7 +158,6 @@
     let stopWaiting = (): void => undefined;
     const finish = (): void => {
       stopWaiting();
-      if (isSilent()) return;
       answer(response, 200, { events: eventsNow(), asOf: this.revision });
     };
     const check = (): void => {
